--- a/src/lycheegauge/internal/coordination/agreement/core.py
+++ b/src/lycheegauge/internal/coordination/agreement/core.py
@@ -16,6 +16,8 @@
         known_commit: The highest index known to be committed by the quorum.
         commit_index: The highest index committed, synced and applied here.
         last_heard: When the leader was last heard, in seconds.
+        contacts: Hosts to which a replica that is no member announces itself,
+            besides the voters that it knows.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         self.commit_index = self.log.snapshot_index
         self.leader: agreement.Voter | None = None
         self.last_heard = float("-inf")
+        self.contacts: tuple[str, ...] = ()
         self._effects: list[agreement.Effect] = []
 
     @property
--- a/src/lycheegauge/internal/coordination/agreement/election.py
+++ b/src/lycheegauge/internal/coordination/agreement/election.py
@@ -22,6 +22,8 @@
         self._deadline = now
         self.is_standing = False
         self.defer(now)
+        if not core.may_stand:
+            self._deadline = now
 
     def defer(self, now: float) -> None:
         """Waits anew for a leader, and gives up an election under way."""
@@ -41,6 +43,7 @@
             self._stand(pre_vote=True)
         else:
             self._announce()
+            self._deadline = now + self._core.timing.heartbeat_s
 
     def answer(self, request: agreement.VoteRequest, now: float) -> None:
         """Answers a request for a vote or a pre-vote."""
@@ -125,7 +128,11 @@
         notice = agreement.AppendReply(
             core.identity, core.term, False, core.writes.synced_index, 0
         )
-        for voter in core.membership.voters:
+        known = {voter.host: voter for voter in core.membership.voters}
+        for host in core.contacts:
+            known.setdefault(host, agreement.Voter(host, ""))
+        known.pop(core.identity.host, None)
+        for voter in known.values():
             core.send(voter, notice)
 
     def _hears_leader(self, now: float) -> bool:
--- a/src/lycheegauge/internal/coordination/agreement/repair.py
+++ b/src/lycheegauge/internal/coordination/agreement/repair.py
@@ -12,7 +12,6 @@
 from lycheegauge.internal.coordination.agreement import quorum
 from lycheegauge.internal.protocol import agreement
 
-REPLACE_AFTER_S = 30.0
 MAX_LEARNERS = 4
 
 
@@ -24,7 +23,8 @@
         membership: The membership in force.
         heard: The members that answered within the least election timeout,
             with the leader itself.
-        silent: The members that have not answered for ``REPLACE_AFTER_S``.
+        silent: The members that have not answered for ``replace_after_s``, and
+            those whose host has been heard with another disk.
         caught_up: The learners whose synced log reaches the commit index.
         strangers: Replicas that wrote to the leader and are no members.
     """
@@ -41,10 +41,11 @@
 
     Args:
         voters: How many voters there should be.
-        hosts: The hosts that may take part; others stay strangers.
+        hosts: The hosts that may take part; others stay strangers. Any host may
+            when it is ``None``.
     """
 
-    def __init__(self, voters: int, hosts: frozenset[str]) -> None:
+    def __init__(self, voters: int, hosts: frozenset[str] | None) -> None:
         self._voters = voters
         self._hosts = hosts
 
@@ -96,7 +97,7 @@
         """Makes a stranger a learner, in place of a silent one if need be."""
         membership = contacts.membership
         stranger = next(
-            (item for item in contacts.strangers if item.host in self._hosts), None
+            (item for item in contacts.strangers if self._is_allowed(item)), None
         )
         if stranger is None:
             return None
@@ -109,6 +110,9 @@
             return None
         return dataclasses.replace(membership, learners=(*kept, stranger))
 
+    def _is_allowed(self, stranger: agreement.Voter) -> bool:
+        return self._hosts is None or stranger.host in self._hosts
+
 
 def _promote(
     membership: agreement.Membership, learner: agreement.Voter
--- a/src/lycheegauge/internal/coordination/agreement/replica.py
+++ b/src/lycheegauge/internal/coordination/agreement/replica.py
@@ -92,15 +92,36 @@
             return None
         peers = self._leadership.peers
         recent = self._leadership.list_heard(now - self._core.timing.election_min_s)
-        kept = self._leadership.list_heard(now - repair.REPLACE_AFTER_S)
+        kept = self._leadership.list_heard(now - self._core.timing.replace_after_s)
+        strangers = [item for item in self._strangers.values() if item not in peers]
         return repair.Contacts(
             self.membership,
             recent,
-            frozenset(peers) - kept,
+            (frozenset(peers) - kept) | self._list_wiped(strangers),
             self._leadership.list_caught_up(),
-            tuple(item for item in self._strangers.values() if item not in peers),
+            tuple(strangers),
         )
 
+    def _list_wiped(
+        self, strangers: list[agreement.Voter]
+    ) -> frozenset[agreement.Voter]:
+        """Lists the voters whose host now runs with another disk.
+
+        One address has one data folder, so the old identity is gone for good
+        and needs no time to prove its silence.
+        """
+        heirs = {item.host: item for item in self.membership.learners}
+        heirs.update({item.host: item for item in strangers})
+        return frozenset(
+            voter
+            for voter in self.membership.voters
+            if voter.host in heirs and voter != self.identity
+        )
+
+    def set_contacts(self, hosts: tuple[str, ...]) -> None:
+        """Takes hosts besides the voters to which a stranger announces itself."""
+        self._core.contacts = hosts
+
     def receive(self, message: agreement.Message, now: float) -> list[agreement.Effect]:
         """Takes a message from another replica."""
         match message:
--- a/src/lycheegauge/internal/coordination/agreement/timing.py
+++ b/src/lycheegauge/internal/coordination/agreement/timing.py
@@ -7,6 +7,7 @@
 ELECTION_MAX_S = 2.4
 READ_INTERVAL_S = 0.1
 COMMIT_NOTICE_S = 0.05
+REPLACE_AFTER_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +23,7 @@
         read_interval_s: Reads share heartbeat rounds at least so far apart.
         commit_notice_s: A new commit index waits so long for entries to travel
             with before it is sent alone.
+        replace_after_s: A voter that is silent for so long is replaced.
     """
 
     heartbeat_s: float = HEARTBEAT_S
@@ -29,3 +31,4 @@
     election_max_s: float = ELECTION_MAX_S
     read_interval_s: float = READ_INTERVAL_S
     commit_notice_s: float = COMMIT_NOTICE_S
+    replace_after_s: float = REPLACE_AFTER_S
--- /dev/null
+++ b/src/lycheegauge/internal/coordination/rosterbook.py
@@ -0,0 +1,200 @@
+"""The leader's book of who is there: backend servers and entry hosts.
+
+Every change gets a number, so that an asker that names the last number it saw
+gets only what changed since. Followers mirror the book, so that a new leader
+starts with it rather than with nothing.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+from lycheegauge.internal.protocol import roster
+
+MAX_REMOVALS = 1024
+"""Removals kept for askers that are behind; one further behind gets the whole."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lifetimes:
+    """How long an entry lasts without a sign of life, in seconds.
+
+    Attributes:
+        server_s: Some announcement intervals, since single ones come late.
+        host_s: Some pull intervals; shorter than the time after which a dead
+            host must no longer be named to callers.
+    """
+
+    server_s: float
+    host_s: float
+
+
+Listing = typing.TypeVar("Listing", roster.ServerListing, roster.HostListing)
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry(typing.Generic[Listing]):
+    listing: Listing
+    heard_at: float
+    changed: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed since an asker's cursor."""
+
+    cursor: int
+    whole: bool
+    servers: tuple[roster.ServerListing, ...]
+    servers_gone: tuple[str, ...]
+    hosts: tuple[roster.HostListing, ...]
+    hosts_gone: tuple[str, ...]
+
+
+class RosterBook:
+    """Takes announcements and pulls, and lists what changed.
+
+    Args:
+        source: Names this book; cursors of other books mean nothing to it.
+        lifetimes: How long entries last without a sign of life.
+    """
+
+    def __init__(self, source: str, lifetimes: Lifetimes) -> None:
+        self.source = source
+        self._lifetimes = lifetimes
+        self._cursor = 0
+        self._oldest_kept = 0
+        self._servers: dict[str, _Entry[roster.ServerListing]] = {}
+        self._hosts: dict[str, _Entry[roster.HostListing]] = {}
+        self._removals: list[tuple[int, str, bool]] = []
+
+    def take_announcement(self, listing: roster.ServerListing, now: float) -> bool:
+        """Takes a backend server's announcement.
+
+        Returns:
+            Whether it is the newest of its server and of its address. A late
+            one changes nothing.
+        """
+        known = self._servers.get(listing.name)
+        if known is not None and _is_older(listing, known.listing):
+            return False
+        rival = self._find_address(listing)
+        if rival is not None:
+            if rival.born_ms > listing.born_ms:
+                return False
+            self._remove_server(rival.name)
+        is_changed = known is None or _differs(listing, known.listing)
+        if known is None or is_changed:
+            self._cursor += 1
+            self._servers[listing.name] = _Entry(listing, now, self._cursor)
+        else:
+            known.listing = listing
+            known.heard_at = now
+        return True
+
+    def remove_server(self, departure: roster.Departure) -> None:
+        """Removes an incarnation that left; a later one of the same id stays."""
+        known = self._servers.get(departure.server)
+        if known is not None and known.listing.born_ms <= departure.born_ms:
+            self._remove_server(departure.server)
+
+    def find_server(self, name: str) -> roster.ServerListing | None:
+        """Finds a backend server by its id."""
+        known = self._servers.get(name)
+        return known.listing if known else None
+
+    def take_host(self, listing: roster.HostListing, now: float) -> None:
+        """Takes an entry host's sign of life."""
+        known = self._hosts.get(listing.name)
+        if known is not None and known.listing == listing:
+            known.heard_at = now
+            return
+        self._cursor += 1
+        self._hosts[listing.name] = _Entry(listing, now, self._cursor)
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Removes entries without a sign of life and returns their names."""
+        servers = _list_silent(self._servers, now - self._lifetimes.server_s)
+        hosts = _list_silent(self._hosts, now - self._lifetimes.host_s)
+        for name in servers:
+            self._remove_server(name)
+        for name in hosts:
+            del self._hosts[name]
+            self._note_removal(name, is_host=True)
+        return (*servers, *hosts)
+
+    def list_changes(self, source: str, cursor: int) -> Changes:
+        """Lists what an asker has not seen."""
+        whole = source != self.source or cursor < self._oldest_kept
+        after = 0 if whole else cursor
+        gone = [] if whole else [item for item in self._removals if item[0] > after]
+        return Changes(
+            self._cursor,
+            whole,
+            tuple(e.listing for e in self._servers.values() if e.changed > after),
+            tuple(name for _, name, is_host in gone if not is_host),
+            tuple(e.listing for e in self._hosts.values() if e.changed > after),
+            tuple(name for _, name, is_host in gone if is_host),
+        )
+
+    def adopt(
+        self,
+        servers: collections.abc.Iterable[roster.ServerListing],
+        hosts: collections.abc.Iterable[roster.HostListing],
+        now: float,
+    ) -> None:
+        """Starts with what a follower mirrored, as if heard now."""
+        for server in servers:
+            if server.name not in self._servers:
+                self.take_announcement(server, now)
+        for host in hosts:
+            if host.name not in self._hosts:
+                self.take_host(host, now)
+
+    def list_servers(self) -> tuple[roster.ServerListing, ...]:
+        """Lists the backend servers."""
+        return tuple(entry.listing for entry in self._servers.values())
+
+    def list_hosts(self) -> tuple[roster.HostListing, ...]:
+        """Lists the entry hosts."""
+        return tuple(entry.listing for entry in self._hosts.values())
+
+    def _find_address(
+        self, listing: roster.ServerListing
+    ) -> roster.ServerListing | None:
+        """Finds another server that announced the same address."""
+        for entry in self._servers.values():
+            other = entry.listing
+            if other.address == listing.address and other.name != listing.name:
+                return other
+        return None
+
+    def _remove_server(self, name: str) -> None:
+        if self._servers.pop(name, None) is not None:
+            self._note_removal(name, is_host=False)
+
+    def _note_removal(self, name: str, is_host: bool) -> None:
+        self._cursor += 1
+        self._removals.append((self._cursor, name, is_host))
+        if len(self._removals) > MAX_REMOVALS:
+            self._oldest_kept = self._removals.pop(0)[0]
+
+
+def _is_older(listing: roster.ServerListing, known: roster.ServerListing) -> bool:
+    return (listing.born_ms, listing.sequence) < (known.born_ms, known.sequence)
+
+
+def _differs(listing: roster.ServerListing, known: roster.ServerListing) -> bool:
+    """Tells whether askers need the new listing.
+
+    The sequence and the falling count of cold seconds say nothing new.
+    """
+    if listing.cold_s > 0.0 or known.cold_s > 0.0:
+        return True
+    return dataclasses.replace(listing, sequence=known.sequence) != known
+
+
+def _list_silent(
+    entries: collections.abc.Mapping[str, _Entry[typing.Any]], since: float
+) -> list[str]:
+    return [name for name, entry in entries.items() if entry.heard_at < since]
--- /dev/null
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -0,0 +1,126 @@
+"""Chooses the backend server that a request is sent to.
+
+A host knows its own open requests exactly, and what others have open only from
+the load that servers tell in their answers, which grows old. The least
+estimated share of busy slots wins; equal ones are drawn, so that hosts with the
+same old news don't all choose the same server.
+"""
+
+import dataclasses
+import math
+import random
+import typing
+
+from lycheegauge.internal.protocol import roster
+
+REPORT_HALF_LIFE_S = 1.0
+"""A told load counts half after so long; an answer takes about as long."""
+
+FIRST_BACKOFF_S = 0.5
+LONGEST_BACKOFF_S = 4.0
+"""A server that fails is left out so long, doubling with each failure in a row."""
+
+TIE_WIDTH = 0.02
+"""Estimates this close are equal; a told load is no finer than a slot."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    """What one host knows of one server's load and failures.
+
+    Attributes:
+        own: This host's open requests there.
+        others: Requests of others there, when the server last told its load.
+        told_at: When that was, in seconds.
+        failures: Failures in a row.
+        out_until: The server is left out until then.
+    """
+
+    own: int = 0
+    others: float = 0.0
+    told_at: float = -math.inf
+    failures: int = 0
+    out_until: float = -math.inf
+
+
+class ServerChoice:
+    """Tracks the servers of all services and chooses among them.
+
+    Args:
+        chance: Breaks ties.
+    """
+
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
+        self._known: dict[str, _Known] = {}
+
+    def choose(
+        self,
+        servers: typing.Iterable[roster.ServerListing],
+        slots: int,
+        now: float,
+    ) -> roster.ServerListing | None:
+        """Chooses one of ``servers``; those that failed lately only if all did.
+
+        Args:
+            servers: The servers that may run the request.
+            slots: Slots of a server that does not tell its own.
+            now: Seconds.
+        """
+        usable = list(servers)
+        sound = [s for s in usable if self._get(s.name).out_until <= now]
+        candidates = sound or usable
+        if not candidates:
+            return None
+        scores = [self.estimate(server, slots, now) for server in candidates]
+        bound = min(scores) + TIE_WIDTH
+        best = [
+            s for s, score in zip(candidates, scores, strict=True) if score <= bound
+        ]
+        return self._chance.choice(best)
+
+    def estimate(self, server: roster.ServerListing, slots: int, now: float) -> float:
+        """Estimates the share of a server's slots that is busy; over 1 is a queue."""
+        known = self._get(server.name)
+        age_s = now - known.told_at
+        others = known.others * math.pow(0.5, age_s / REPORT_HALF_LIFE_S)
+        return (known.own + others) / max(1, server.slots or slots)
+
+    def note_sent(self, server: str) -> None:
+        """Notes that a request is sent."""
+        self._get(server).own += 1
+
+    def note_ended(self, server: str) -> None:
+        """Notes that a request ended, however it did."""
+        known = self._get(server)
+        known.own = max(0, known.own - 1)
+
+    def note_load(self, server: str, running: int, waiting: int, now: float) -> None:
+        """Takes the load that a server told in an answer, this host's included."""
+        known = self._get(server)
+        known.others = max(0.0, running + waiting - known.own)
+        known.told_at = now
+
+    def note_success(self, server: str) -> None:
+        """Notes an answer, which ends a row of failures."""
+        known = self._get(server)
+        known.failures = 0
+        known.out_until = -math.inf
+
+    def note_failure(self, server: str, now: float) -> float:
+        """Notes a failure; returns for how long the server is left out."""
+        known = self._get(server)
+        known.failures += 1
+        backoff = math.ldexp(FIRST_BACKOFF_S, min(known.failures - 1, 8))
+        backoff_s = min(LONGEST_BACKOFF_S, backoff)
+        known.out_until = now + backoff_s
+        return backoff_s
+
+    def keep_only(self, servers: typing.Container[str]) -> None:
+        """Forgets servers that are gone and have no open request."""
+        for name in [n for n in self._known if n not in servers]:
+            if not self._known[name].own:
+                del self._known[name]
+
+    def _get(self, server: str) -> _Known:
+        return self._known.setdefault(server, _Known())
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/control.py
@@ -0,0 +1,63 @@
+"""The daemon of a log host in a forwarding deployment."""
+
+import loguru
+
+from lycheegauge import settings
+from lycheegauge.internal import logs
+from lycheegauge.internal.daemons import controlgate, lifecycle, rosterhost
+from lycheegauge.internal.protocol import controlcalls
+from lycheegauge.internal.transport import controlapi, peers, services, web
+
+
+class ControlDaemon:
+    """Owns the listeners of a log host and its replica."""
+
+    def __init__(self, part: settings.ControlSettings) -> None:
+        self._pool = peers.ChannelPool()
+        self.host = rosterhost.RosterHost(part, self._pool)
+        dialect = controlcalls.get_dialect(part.dialect)
+        self.gate = controlgate.ControlGate(part, self.host, dialect)
+        service = services.RosterHostService(
+            self.host.deliver,
+            self.host.pull,
+            self.gate.take_relayed,
+            self.host.tell_log_hosts,
+            self.host.take_crash,
+        )
+        self._peer_server = peers.PeerServer(part.peer_address, [service])
+        application = controlapi.make_application(self.gate.handle, part.limits)
+        self.listeners = [
+            web.Listener(address, application, part.limits)
+            for address in dict.fromkeys((part.control_address, part.directory_address))
+        ]
+
+    async def start(self) -> None:
+        """Opens the journal and starts listening.
+
+        Raises:
+            errors.JournalDamagedError: The journal is damaged before its tail.
+            errors.StorageFailedError: The data folder can't be used.
+            OSError: An address can't be listened on.
+        """
+        await self.host.start()
+        await self._peer_server.start()
+        for listener in self.listeners:
+            await listener.start()
+        loguru.logger.info("started", step="start", address=self.host.address)
+
+    async def drain(self) -> None:
+        """Does nothing; another replica takes over."""
+
+    async def close(self) -> None:
+        """Closes everything at once."""
+        for listener in self.listeners:
+            await listener.close()
+        await self.host.close()
+        await self._peer_server.close()
+        self._pool.close()
+
+
+async def run_control(part: settings.ControlSettings) -> int:
+    """Runs a log host of a forwarding deployment until SIGTERM or SIGINT."""
+    logs.configure_logs(part.name, part.log_level)
+    return await lifecycle.run_daemon(ControlDaemon(part), part.stop_timeout_s)
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/controlgate.py
@@ -0,0 +1,181 @@
+"""Answers control calls: tables, zones, announcements, entry hosts.
+
+A host that does not lead relays what changes or proves something. Every
+acknowledgement follows the commit, or changed nothing that a loss could take
+back.
+"""
+
+import random
+import zlib
+
+import loguru
+from returns import result
+
+from lycheegauge import errors, settings
+from lycheegauge.internal.daemons import rosterhost
+from lycheegauge.internal.protocol import changes, controlcalls, roster
+from lycheegauge.internal.transport import clock, controlapi
+
+COMPRESSION_LEVEL = 1
+"""zlib's fastest; tables repeat their field names, so it halves them many times."""
+
+ENTRIES_MAX = 64
+"""Most addresses of one answer."""
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+UNAVAILABLE = 503
+
+
+class ControlGate:
+    """Decides each control call.
+
+    Args:
+        part: The host's settings.
+        host: The log host that it answers for.
+        dialect: The words of the border.
+    """
+
+    def __init__(
+        self,
+        part: settings.ControlSettings,
+        host: rosterhost.RosterHost,
+        dialect: controlcalls.Dialect,
+    ) -> None:
+        self._part = part
+        self._host = host
+        self._dialect = dialect
+        self._chance = random.Random()
+
+    async def handle(self, method: str, target: str, body: bytes) -> controlapi.Answer:
+        """Answers a call that came to this host."""
+        call = self._dialect.read_call(method, target)
+        match call:
+            case None:
+                return controlapi.Answer(NOT_FOUND)
+            case controlcalls.ListEntries():
+                return self._list_entries()
+            case controlcalls.CheckReady():
+                return controlapi.Answer(OK if self._host.leader_address else 503)
+        if self._host.task.is_leader:
+            return await self._decide(call, body)
+        return await self._relay(method, target, body)
+
+    async def take_relayed(self, call: roster.RelayedCall) -> roster.RelayedAnswer:
+        """Answers a call that another host relayed to this one as the leader."""
+        decoded = self._dialect.read_call(call.method, call.target)
+        if decoded is None or not self._host.task.is_leader:
+            return roster.RelayedAnswer(0)
+        answer = await self._decide(decoded, call.body)
+        return roster.RelayedAnswer(answer.status, answer.body)
+
+    async def _relay(self, method: str, target: str, body: bytes) -> controlapi.Answer:
+        try:
+            answer = await self._host.relay(roster.RelayedCall(method, target, body))
+        except errors.PeerUnreachableError as error:
+            return _refuse(f"the leader gave no answer: {error}")
+        if not answer.status:
+            return _refuse("no leader is known; ask again")
+        return controlapi.Answer(answer.status, answer.body)
+
+    async def _decide(self, call: controlcalls.Call, body: bytes) -> controlapi.Answer:
+        match call:
+            case controlcalls.PutTable():
+                return await self._put_table(body)
+            case controlcalls.ReadTable():
+                return await self._read_table()
+            case controlcalls.SetZone():
+                change = changes.SetZoneOut(call.availability_zone, call.out)
+                return await self._commit(change)
+            case controlcalls.Announce():
+                return await self._take_announcement(call.server, body)
+            case controlcalls.Leave():
+                return await self._take_leave(call.server, body)
+        return controlapi.Answer(NOT_FOUND)
+
+    async def _put_table(self, body: bytes) -> controlapi.Answer:
+        read = self._dialect.read_table(body)
+        if isinstance(read, result.Failure):
+            loguru.logger.info("route table refused", reason=str(read.failure()))
+            return controlapi.Answer(BAD_REQUEST, str(read.failure()).encode())
+        version = read.unwrap().version
+        held = self._host.routing.table
+        if held is not None and version <= held.version:
+            loguru.logger.info(
+                "route table is not newer", version=version, held=held.version
+            )
+            return controlapi.Answer(OK, b"{}")
+        document = zlib.compress(body, COMPRESSION_LEVEL)
+        return await self._commit(changes.PutRouteTable(version, document))
+
+    async def _read_table(self) -> controlapi.Answer:
+        read = await self._host.task.read()
+        table = self._host.routing.table
+        if isinstance(read, result.Failure):
+            return _refuse(str(read.failure()))
+        if table is None:
+            return _refuse("no route table was accepted yet")
+        return controlapi.Answer(OK, zlib.decompress(table.body))
+
+    async def _take_announcement(self, server: str, body: bytes) -> controlapi.Answer:
+        read = self._dialect.read_announcement(server, body)
+        if isinstance(read, result.Failure):
+            loguru.logger.info(
+                "announcement refused", server=server, reason=str(read.failure())
+            )
+            return controlapi.Answer(BAD_REQUEST, str(read.failure()).encode())
+        listing = read.unwrap()
+        departure = roster.Departure(server, listing.born_ms)
+        if listing.leaving and not self._host.routing.has_departed(departure):
+            answer = await self._commit(
+                changes.NoteDeparture(departure.server, departure.born_ms)
+            )
+            if answer.status != OK:
+                return answer
+        if not self._host.task.is_leader:
+            return _refuse("leadership was lost; ask again")
+        self._host.get_book().take_announcement(listing, clock.read_clock())
+        return controlapi.Answer(OK, b"{}")
+
+    async def _take_leave(self, server: str, body: bytes) -> controlapi.Answer:
+        departure = self._dialect.read_departure(server, body)
+        if not departure.born_ms:
+            known = self._host.get_book().find_server(server)
+            departure = roster.Departure(server, known.born_ms if known else 0)
+        answer = await self._commit(
+            changes.NoteDeparture(departure.server, departure.born_ms)
+        )
+        if answer.status == OK and self._host.task.is_leader:
+            self._host.get_book().remove_server(departure)
+        return answer
+
+    async def _commit(self, change: changes.Change) -> controlapi.Answer:
+        outcome = await self._host.task.propose(change)
+        kind = type(change).__name__
+        if isinstance(outcome, result.Failure):
+            loguru.logger.warning(
+                "change not committed", change=kind, reason=str(outcome.failure())
+            )
+            return _refuse(str(outcome.failure()))
+        loguru.logger.info(
+            "committed", change=kind, revision=self._host.routing.revision
+        )
+        return controlapi.Answer(OK, b"{}")
+
+    def _list_entries(self) -> controlapi.Answer:
+        usable = [
+            host.caller_address
+            for host in self._host.list_hosts()
+            if host.ready and not host.leaving
+        ]
+        if not usable:
+            return _refuse("no entry host is known to be ready")
+        if len(usable) > ENTRIES_MAX:
+            usable = self._chance.sample(usable, ENTRIES_MAX)
+        body = self._dialect.write_entries(tuple(usable), self._part.answer_valid_s)
+        return controlapi.Answer(OK, body)
+
+
+def _refuse(reason: str) -> controlapi.Answer:
+    return controlapi.Answer(UNAVAILABLE, reason.encode())
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -0,0 +1,183 @@
+"""What all forwarded requests of one entry host share."""
+
+import asyncio
+import random
+import zlib
+
+import loguru
+from returns import result
+
+from lycheegauge import metrics, settings
+from lycheegauge.internal.coordination import (
+    coldramp,
+    crashes,
+    forwardrules,
+    repeatbudget,
+    rosterview,
+    routeindex,
+    serverchoice,
+)
+from lycheegauge.internal.daemons import forwardedrequest
+from lycheegauge.internal.protocol import (
+    controlcalls,
+    roster,
+    routetables,
+    work,
+)
+from lycheegauge.internal.transport import clock, ingress, upstream
+
+RETRY_AFTER_S = {
+    work.RefusalReason.LEASE_EXPIRED: 0.5,
+    work.RefusalReason.NO_ROUTE_TABLE: 0.5,
+    work.RefusalReason.NO_BACKEND_SERVER: 0.7,
+    work.RefusalReason.BACKEND_SERVERS_FULL: 0.4,
+    work.RefusalReason.COLD_LIMIT: 0.4,
+    work.RefusalReason.RETRY_BUDGET_SPENT: 0.5,
+    work.RefusalReason.STOPPING: 0.05,
+}
+"""When a refused caller may come back, in seconds: after a pull or two where the
+entry host lacks news, after about a third of a usual answer where slots are
+full, at once where another entry host can serve."""
+
+DEFAULT_RETRY_AFTER_S = 0.5
+
+
+class Forwarder:
+    """Owns the connections to backend servers and the requests under way.
+
+    Args:
+        part: The host's settings.
+        view: What the host knows of the roster and the routing state.
+        dialect: The words of the border.
+        counters: Counts refusals and repeats.
+    """
+
+    def __init__(
+        self,
+        part: settings.GatewaySettings,
+        view: rosterview.RosterView,
+        dialect: controlcalls.Dialect,
+        counters: metrics.Metrics,
+    ) -> None:
+        self.part = part
+        self.view = view
+        self.dialect = dialect
+        self.metrics = counters
+        self.index: routeindex.RouteIndex | None = None
+        self.pool = upstream.ConnectionPool()
+        self.chance = random.Random()
+        self.choice = serverchoice.ServerChoice(self.chance)
+        self.ramp = coldramp.ColdRamp()
+        self.quarantine = crashes.QuarantineView()
+        self.stopping = False
+        self.running: set[asyncio.Task[None]] = set()
+        self._budgets: dict[str, repeatbudget.RepeatBudget] = {}
+
+    def handle(self, exchange: ingress.Exchange) -> None:
+        """Starts the forwarding of one request."""
+        exchange.closes = self.stopping
+        request = forwardedrequest.ForwardedRequest(self, exchange)
+        task = asyncio.create_task(request.run())
+        self.running.add(task)
+        task.add_done_callback(self._note_ended)
+        exchange.call_when_gone(task.cancel)
+
+    def _note_ended(self, task: asyncio.Task[None]) -> None:
+        self.running.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            loguru.logger.opt(exception=task.exception()).error("request failed")
+
+    # What this host believes.
+
+    def take_changes(self, changed: tuple[str, ...]) -> None:
+        """Takes what a pull brought."""
+        if "table" in changed and self.view.table is not None:
+            self._take_table(self.view.table)
+        if "roster" in changed:
+            self.choice.keep_only(self.view.servers)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Closes kept connections that are old or whose server is gone."""
+        servers = self.view.servers.values()
+        self.pool.sweep({server.incarnation for server in servers})
+
+    def _take_table(self, document: roster.RouteDocument) -> None:
+        read = self.dialect.read_table(zlib.decompress(document.body))
+        if isinstance(read, result.Failure):
+            loguru.logger.error(
+                "a committed route table can't be read",
+                version=document.version,
+                reason=str(read.failure()),
+            )
+            return
+        self.index = routeindex.RouteIndex(read.unwrap())
+        loguru.logger.info("route table in force", version=document.version)
+
+    @property
+    def host_count(self) -> int:
+        """How many entry hosts share what is limited over all of them."""
+        return max(1, len(self.view.hosts))
+
+    def get_budget(self, service: str) -> repeatbudget.RepeatBudget:
+        """Returns this host's part of a service's repeats."""
+        repeats = self.part.repeats
+        if service not in self._budgets:
+            self._budgets[service] = repeatbudget.RepeatBudget(
+                repeats.ratio, repeats.slack, repeats.window_s
+            )
+        return self._budgets[service]
+
+    def choose_server(
+        self, service: str, tried: set[str]
+    ) -> roster.ServerListing | forwardrules.GivenUp:
+        """Chooses a server for a request, or tells why there is none."""
+        assert self.index is not None
+        now = clock.read_clock()
+        declared = self.index.services[service]
+        usable = [s for s in self.view.list_usable(now) if s.service == service]
+        if not usable:
+            return self.refuse(work.RefusalReason.NO_BACKEND_SERVER)
+        fresh = [server for server in usable if server.name not in tried] or usable
+        allowed = [s for s in fresh if self._bears(s, declared, now)]
+        if not allowed:
+            return self.refuse(work.RefusalReason.COLD_LIMIT)
+        chosen = self.choice.choose(allowed, declared.slots, now)
+        assert chosen is not None
+        if self._is_cold(chosen, declared, now):
+            self.ramp.take(chosen.name)
+        return chosen
+
+    def refuse(
+        self, reason: work.RefusalReason, detail: str = ""
+    ) -> forwardrules.GivenUp:
+        """Makes the refusal of a request that was not run."""
+        after_s = RETRY_AFTER_S.get(reason, DEFAULT_RETRY_AFTER_S)
+        return forwardrules.give_up(reason, work.RunState.NOT_RUN, after_s, detail)
+
+    def _is_cold(
+        self,
+        server: roster.ServerListing,
+        declared: routetables.ServiceDeclaration,
+        now: float,
+    ) -> bool:
+        is_cold = now < self.view.get_cold_until(server.name)
+        return declared.cold_rate > 0 and is_cold
+
+    def _bears(
+        self,
+        server: roster.ServerListing,
+        declared: routetables.ServiceDeclaration,
+        now: float,
+    ) -> bool:
+        if not self._is_cold(server, declared, now):
+            return True
+        rate = declared.cold_rate
+        return self.ramp.may_take(server.name, rate, self.host_count, now)
+
+    async def close(self) -> None:
+        """Ends all requests and connections."""
+        for task in list(self.running):
+            task.cancel()
+        await asyncio.gather(*self.running, return_exceptions=True)
+        self.pool.close()
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -0,0 +1,153 @@
+"""The entry host that forwards requests to backend servers as they are."""
+
+import asyncio
+
+import loguru
+
+from lycheegauge import errors, metrics, settings
+from lycheegauge.internal import logs
+from lycheegauge.internal.coordination import members, rosterview
+from lycheegauge.internal.daemons import forwarder, lifecycle, rosterclient
+from lycheegauge.internal.protocol import controlcalls, roster
+from lycheegauge.internal.transport import clock, controlapi, ingress, peers, web
+
+RETRY_INTERVAL_S = 0.1
+"""After a failed pull the next host is asked so soon, in seconds."""
+SWEEP_INTERVAL_S = 1.0
+ACCEPT_AFTER_STOP_S = 3.0
+"""A stopping host still takes callers that hold an older answer, in seconds."""
+DRAIN_POLL_S = 0.05
+
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
+
+
+class GatewayDaemon:
+    """Owns an entry host's sockets and its view of the system."""
+
+    def __init__(self, part: settings.GatewaySettings) -> None:
+        self.part = part
+        self.incarnation = clock.name_start(members.format_incarnation)
+        self.metrics = metrics.Metrics()
+        self.view = rosterview.RosterView(part.roster.lease_s)
+        self._dialect = controlcalls.get_dialect(part.dialect)
+        self.forwarder = forwarder.Forwarder(
+            part, self.view, self._dialect, self.metrics
+        )
+        self._pool = peers.ChannelPool()
+        seeds = rosterclient.list_seed_peers(part.roster, part.peer_address)
+        self._client = rosterclient.RosterClient(self._pool, seeds, part.peer_address)
+        self._ingress = ingress.Ingress(self.forwarder.handle, part.limits.body_bytes)
+        self._callers = web.Listener(part.caller_address, self._ingress, part.limits)
+        self._readiness = web.Listener(
+            part.readiness_address,
+            controlapi.make_application(self._answer_readiness, part.limits),
+            part.limits,
+        )
+        self.caller_address = part.caller_address
+        self._tasks: list[asyncio.Task[None]] = []
+        self._is_in_touch = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host can serve callers now."""
+        has_lease = self.view.lease.allows_start(clock.read_clock())
+        has_table = self.forwarder.index is not None
+        return has_lease and has_table and not self.forwarder.stopping
+
+    async def start(self) -> None:
+        """Starts listening and follows the log hosts.
+
+        Raises:
+            OSError: An address can't be listened on.
+        """
+        self.caller_address = await self._callers.start()
+        await self._readiness.start()
+        for loop in (self._keep_pulling, self._keep_sweeping):
+            self._tasks.append(asyncio.create_task(loop()))
+        loguru.logger.info("started", step="start", caller_address=self.caller_address)
+
+    async def drain(self) -> None:
+        """Leaves discovery, serves on for a while and finishes what runs."""
+        self.forwarder.stopping = True
+        await self._pull_once()
+        await asyncio.sleep(ACCEPT_AFTER_STOP_S)
+        self._callers.stop_accepting()
+        self._ingress.close_idle()
+        while self.forwarder.running:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def close(self) -> None:
+        """Closes everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.forwarder.close()
+        await self._callers.close()
+        await self._readiness.close()
+        self._pool.close()
+        self.metrics.close()
+
+    def describe_self(self) -> roster.HostListing:
+        """Returns this host as others see it."""
+        return roster.HostListing(
+            self.part.name,
+            self.incarnation,
+            self.part.availability_zone,
+            self.caller_address,
+            self.forwarder.index is not None,
+            self.forwarder.stopping,
+        )
+
+    async def _answer_readiness(
+        self, method: str, target: str, _: bytes
+    ) -> controlapi.Answer:
+        call = self._dialect.read_call(method, target)
+        if not isinstance(call, controlcalls.CheckReady):
+            return controlapi.Answer(NOT_FOUND)
+        return controlapi.Answer(OK if self.is_ready else UNAVAILABLE)
+
+    async def _keep_pulling(self) -> None:
+        while True:
+            is_answered = await self._pull_once()
+            interval_s = self.part.roster.pull_interval_s
+            await asyncio.sleep(interval_s if is_answered else RETRY_INTERVAL_S)
+
+    async def _pull_once(self) -> bool:
+        """Asks for news once; returns whether a leader answered."""
+        pull = self.view.begin_pull(self.describe_self(), clock.read_clock())
+        asked = self._client.address
+        try:
+            reply = await self._client.pull(pull.message)
+        except errors.PeerUnreachableError as error:
+            self._note_contact(False, asked, str(error))
+            return False
+        changed = self.view.take_reply(pull, reply, clock.read_clock())
+        self.forwarder.take_changes(changed)
+        if reply.quarantine is not None:
+            self.view.quarantine_version = reply.quarantine.version
+            self.forwarder.quarantine.take(reply.quarantine)
+        is_led = reply.proof is not None
+        self._note_contact(is_led, asked, "the host asked does not lead")
+        return is_led
+
+    def _note_contact(self, is_in_touch: bool, peer: str, detail: str) -> None:
+        if is_in_touch == self._is_in_touch:
+            return
+        self._is_in_touch = is_in_touch
+        if is_in_touch:
+            loguru.logger.info("the log's leader answers", peer=peer)
+        else:
+            loguru.logger.warning("the log's leader is lost", peer=peer, detail=detail)
+
+    async def _keep_sweeping(self) -> None:
+        while True:
+            self.forwarder.sweep()
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+
+
+async def run_gateway(part: settings.GatewaySettings) -> int:
+    """Runs a forwarding entry host until SIGTERM or SIGINT."""
+    logs.configure_logs(part.name, part.log_level)
+    return await lifecycle.run_daemon(GatewayDaemon(part), part.stop_timeout_s)
--- a/src/lycheegauge/internal/daemons/lognode.py
+++ b/src/lycheegauge/internal/daemons/lognode.py
@@ -13,7 +13,7 @@
 
 from returns import result
 
-from lycheegauge import errors, settings
+from lycheegauge import settings
 from lycheegauge.internal.coordination import (
     deltas,
     directory,
@@ -21,7 +21,12 @@
     followers,
     leases,
 )
-from lycheegauge.internal.daemons import replication, voterreplacement
+from lycheegauge.internal.daemons import (
+    logclock,
+    replicasender,
+    replication,
+    voterreplacement,
+)
 from lycheegauge.internal.protocol import (
     agreement,
     codec,
@@ -36,7 +41,6 @@
 from lycheegauge.internal.transport import clock, peers
 
 PROOF_WAIT_S = 0.8
-SEND_TIMEOUT_S = 2.0
 
 
 class LogNode:
@@ -46,14 +50,14 @@
         self, part: settings.LogSettings, pool: peers.ChannelPool, host: str
     ) -> None:
         self.host = host
-        self._pool = pool
         self.machine = machine.Machine()
         self.directory = directory.Directory(uuid.uuid4().hex[:12])
         self._issuer = leases.ProofIssuer()
-        self._sending: dict[str, asyncio.Task[None]] = {}
-        self._outboxes: dict[str, list[agreement.Message]] = {}
+        self._sender = replicasender.ReplicaSender(
+            pool, lambda channel: services_grpc.ReplicaStub(channel).Deliver
+        )
         self._reads: set[asyncio.Task[None]] = set()
-        self._log_clock = LogClock()
+        self._log_clock = logclock.LogClock()
         self._deltas = deltas.DeltaLog()
         self._offered = intents.Configuration()
         self._applied_at = clock.read_clock()
@@ -61,7 +65,7 @@
             journal.Journal(part.data_folder, host),
             make_membership(part.voters),
             self.machine,
-            self._send,
+            self._sender.send,
             clock.read_clock,
             random.Random(),
             snapshot_every=part.snapshot_entries,
@@ -80,7 +84,8 @@
     async def close(self) -> None:
         """Ends the replica and everything it sends."""
         await self.task.close()
-        for task in [*self._sending.values(), *self._reads]:
+        self._sender.close()
+        for task in self._reads:
             task.cancel()
 
     # Parts of the replicated state.
@@ -106,37 +111,6 @@
 
     # Messages between replicas.
 
-    def _send(self, receiver: agreement.Voter, message: agreement.Message) -> None:
-        outbox = self._outboxes.setdefault(receiver.host, [])
-        outbox.append(message)
-        if receiver.host not in self._sending:
-            task = asyncio.create_task(self._empty_outbox(receiver.host))
-            self._sending[receiver.host] = task
-
-    async def _empty_outbox(self, address: str) -> None:
-        # One call at a time to each replica keeps messages in order, and takes
-        # all that waits: a call for each message made eight bookings at once
-        # wait for each other's round trips. What waits when a call fails is
-        # dropped, which the log allows.
-        outbox = self._outboxes[address]
-        try:
-            while outbox:
-                batch = tuple(outbox)
-                outbox.clear()
-                await self._deliver_to(address, batch)
-        except errors.PeerUnreachableError:
-            outbox.clear()
-            self._pool.drop_channel(address)
-        finally:
-            del self._sending[address]
-
-    async def _deliver_to(
-        self, address: str, batch: tuple[agreement.Message, ...]
-    ) -> None:
-        with peers.translate_failures("replicate", address):
-            stub = services_grpc.ReplicaStub(self._pool.get_channel(address))
-            await stub.Deliver(codec.wrap_batch(batch), timeout=SEND_TIMEOUT_S)
-
     async def deliver(self, message: agreement.Message) -> None:
         """Takes a message of another replica."""
         self.task.deliver(message)
@@ -265,26 +239,6 @@
         )
 
 
-class LogClock:
-    """Counts log seconds: never back, whoever leads.
-
-    A new leader goes on from the last time in the log; the time between two
-    leaders is not counted, so claims are kept a little longer, never shorter.
-    """
-
-    def __init__(self) -> None:
-        self._log_time_s = 0.0
-        self._read_at: float | None = None
-
-    def read(self, applied_s: float, now: float) -> float:
-        """Returns the log time, given the last one in the log."""
-        if self._read_at is not None:
-            self._log_time_s += now - self._read_at
-        self._read_at = now
-        self._log_time_s = max(self._log_time_s, applied_s)
-        return self._log_time_s
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberStatuses:
     """All members as ``status`` shows them."""
--- a/src/lycheegauge/internal/daemons/replication.py
+++ b/src/lycheegauge/internal/daemons/replication.py
@@ -43,7 +43,8 @@
         limits: Durations of the log.
         snapshot_every: Entries between two snapshots; 0 takes none.
         disk: Runs the journal's calls, one at a time; one thread when missing.
-        standby_hosts: Hosts besides the first members' that may become voters.
+        standby_hosts: Hosts besides the first members' that may become voters;
+            any host may when it is ``None``.
     """
 
     def __init__(
@@ -57,7 +58,8 @@
         limits: timing.Timing | None = None,
         snapshot_every: int = SNAPSHOT_EVERY_ENTRIES,
         disk: concurrent.futures.Executor | None = None,
-        standby_hosts: frozenset[str] = frozenset(),
+        standby_hosts: frozenset[str] | None = frozenset(),
+        repair_interval_s: float = REPAIR_INTERVAL_S,
     ) -> None:
         self.machine = machine
         self._writer = journalwriter.JournalWriter(journal, disk, self._post)
@@ -76,7 +78,9 @@
         self._failure: errors.LycheegaugeError | None = None
         self._loop_task: asyncio.Task[None] | None = None
         hosts = {member.host for member in (*membership.voters, *membership.learners)}
-        self._repair = repair.Repair(len(membership.voters), standby_hosts | hosts)
+        allowed = None if standby_hosts is None else standby_hosts | hosts
+        self._repair = repair.Repair(len(membership.voters), allowed)
+        self._repair_interval_s = repair_interval_s
         self._repair_due = 0.0
 
     async def start(self) -> None:
@@ -148,6 +152,16 @@
         """Why this replica stopped, or ``None``."""
         return self._failure
 
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._replica.term if self._replica else 0
+
+    def set_contacts(self, hosts: tuple[str, ...]) -> None:
+        """Takes hosts to which this replica announces itself as a stranger."""
+        if self._replica is not None:
+            self._replica.set_contacts(hosts)
+
     def deliver(self, message: agreement.Message) -> None:
         """Takes a message from another replica; drops it when too many wait."""
         if len(self._inbox) < MAX_INBOX_MESSAGES:
@@ -218,7 +232,7 @@
         now = self._clock()
         if now < self._repair_due or self._replica is None:
             return
-        self._repair_due = now + REPAIR_INTERVAL_S
+        self._repair_due = now + self._repair_interval_s
         contacts = self._replica.describe_contacts(now)
         membership = self._repair.decide(contacts) if contacts else None
         if membership is not None:
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/rosterclient.py
@@ -0,0 +1,134 @@
+"""Finds the log hosts from the seeds and asks their leader."""
+
+import loguru
+
+from lycheegauge import errors, settings
+from lycheegauge.internal.protocol import changes, roster
+from lycheegauge.internal.protocol.generated import services_grpc
+from lycheegauge.internal.transport import peers
+
+PULL_TIMEOUT_S = 0.8
+QUESTION_TIMEOUT_S = 0.5
+REPORT_TIMEOUT_S = 1.0
+MAX_HOSTS = 16
+"""Addresses that are remembered; the oldest but the seeds go first."""
+
+
+def list_seed_peers(
+    part: settings.RosterSettings, own_peer_address: str
+) -> tuple[str, ...]:
+    """Lists the seeds' peer addresses: their hosts with this host's peer port."""
+    _, port = peers.split_address(own_peer_address)
+    hosts = [peers.split_address(seed)[0] for seed in part.seed_hosts]
+    return tuple(dict.fromkeys(f"{host}:{port}" for host in hosts))
+
+
+class RosterClient:
+    """Remembers the log hosts and who led last.
+
+    Args:
+        pool: The channels to other hosts.
+        seeds: Peer addresses of the seeds.
+        own_address: This host's own peer address, which is never asked.
+    """
+
+    def __init__(
+        self, pool: peers.ChannelPool, seeds: tuple[str, ...], own_address: str
+    ) -> None:
+        self._pool = pool
+        self._seeds = seeds
+        self._own_address = own_address
+        self.hosts = [host for host in seeds if host != own_address]
+        self._current = 0
+
+    @property
+    def address(self) -> str:
+        """The host that is asked next."""
+        return self.hosts[self._current % len(self.hosts)]
+
+    def take_hints(self, leader_address: str, log_hosts: tuple[str, ...]) -> None:
+        """Remembers the log hosts, and turns to the leader or to the next host."""
+        asked = self.address
+        known = [*log_hosts, *self._seeds, *self.hosts]
+        self.hosts = [
+            host for host in dict.fromkeys(known) if host != self._own_address
+        ][:MAX_HOSTS]
+        if leader_address and leader_address != self._own_address:
+            if leader_address not in self.hosts:
+                self.hosts.append(leader_address)
+            if leader_address != asked:
+                loguru.logger.info("turns to the leader", peer=leader_address)
+            self._current = self.hosts.index(leader_address)
+        else:
+            self._current = self.hosts.index(asked) + 1 if asked in self.hosts else 0
+
+    async def pull(self, message: roster.RosterPull) -> roster.RosterReply:
+        """Asks the host that led last; an answer without proof gives hints.
+
+        Raises:
+            errors.PeerUnreachableError: The host gave no answer in time.
+        """
+        try:
+            reply = await self.pull_from(self.address, message)
+        except errors.PeerUnreachableError:
+            self._current += 1
+            raise
+        if reply.proof is None:
+            self.take_hints(reply.leader_address, reply.log_hosts)
+        elif set(reply.log_hosts) - set(self.hosts) - {self._own_address}:
+            self.take_hints(self.address, reply.log_hosts)
+        return reply
+
+    async def pull_from(
+        self, address: str, message: roster.RosterPull
+    ) -> roster.RosterReply:
+        """Asks one host.
+
+        Raises:
+            errors.PeerUnreachableError: The host gave no answer in time.
+        """
+        reply: roster.RosterReply = await self._pool.call(
+            address,
+            "pull roster",
+            lambda channel: services_grpc.RosterHostStub(channel).Pull,
+            message,
+            PULL_TIMEOUT_S,
+            drop_on_failure=True,
+        )
+        return reply
+
+    async def find_log_hosts(self) -> roster.MembershipAnswer:
+        """Asks the next host who the log hosts are.
+
+        Raises:
+            errors.PeerUnreachableError: The host gave no answer in time.
+        """
+        self._current += 1
+        if not self.hosts:
+            return roster.MembershipAnswer("", ())
+        answer: roster.MembershipAnswer = await self._pool.call(
+            self.address,
+            "find log hosts",
+            lambda channel: services_grpc.RosterHostStub(channel).ListLogHosts,
+            roster.MembershipQuestion(),
+            QUESTION_TIMEOUT_S,
+            drop_on_failure=True,
+        )
+        known = dict.fromkeys([*answer.log_hosts, *self._seeds, *self.hosts])
+        self.hosts = [host for host in known if host != self._own_address][:MAX_HOSTS]
+        return answer
+
+    async def report_crash(self, crash: changes.ReportCrash) -> None:
+        """Tells the leader of a crash.
+
+        Raises:
+            errors.PeerUnreachableError: The host gave no answer in time.
+        """
+        await self._pool.call(
+            self.address,
+            "report crash",
+            lambda channel: services_grpc.RosterHostStub(channel).TakeCrash,
+            crash,
+            REPORT_TIMEOUT_S,
+            drop_on_failure=True,
+        )
--- a/src/lycheegauge/internal/protocol/changes.py
+++ b/src/lycheegauge/internal/protocol/changes.py
@@ -180,6 +180,41 @@
     status: ChangeStatus
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutRouteTable:
+    """Puts a route table into force unless its version is not higher.
+
+    ``document`` is the operator's own, compressed.
+    """
+
+    version: int
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetZoneOut:
+    """Takes an availability zone out of service, or back."""
+
+    availability_zone: str
+    out: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteDeparture:
+    """Records that an incarnation of a backend server gets no new work."""
+
+    server: str
+    born_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingOutcome:
+    """The revision of the routing state that holds the change."""
+
+    status: ChangeStatus
+    revision: int
+
+
 Change = (
     ConfirmPlan
     | GrantClaim
@@ -188,8 +223,18 @@
     | ClearSuspect
     | TakeEpoch
     | CommitMap
+    | PutRouteTable
+    | SetZoneOut
+    | NoteDeparture
+)
+Outcome = (
+    ConfirmOutcome
+    | ClaimOutcome
+    | EpochOutcome
+    | MapOutcome
+    | Acknowledgement
+    | RoutingOutcome
 )
-Outcome = ConfirmOutcome | ClaimOutcome | EpochOutcome | MapOutcome | Acknowledgement
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -0,0 +1,231 @@
+"""The product's own words for route tables, announcements and forwarded calls."""
+
+import json
+import typing
+import urllib.parse
+
+import pydantic
+from returns import result
+
+from lycheegauge import errors
+from lycheegauge.internal.protocol import controlcalls, roster, routetables
+
+HEADERS = controlcalls.HeaderNames(
+    request_id="Lycheegauge-Request-Id",
+    time_left_ms="Lycheegauge-Deadline-Ms",
+    organisation="Lycheegauge-Organisation",
+    expected_server="Lycheegauge-Expected-Server",
+    priority="Lycheegauge-Priority",
+    not_run="Lycheegauge-Not-Run",
+    load="Lycheegauge-Load",
+    resume_after="Last-Event-Id",
+    sizes="Lycheegauge-Tokens",
+)
+
+KEY_SCHEME = "Bearer "
+
+
+class Model(pydantic.BaseModel):
+    """Base of the border models: unknown keys are errors."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class WeightedServiceModel(Model):
+    """A service and its share of a route's requests."""
+
+    service: str
+    weight: float = pydantic.Field(default=1.0, ge=0)
+
+
+class RouteModel(Model):
+    """One route, with times in seconds."""
+
+    name: str
+    host: str
+    path_prefix: str = pydantic.Field(pattern=r"^/(.*/)?$")
+    services: tuple[WeightedServiceModel, ...] = pydantic.Field(min_length=1)
+    repetition: routetables.Repetition
+    timeout_s: float = pydantic.Field(gt=0)
+    target_first_s: float = pydantic.Field(default=1.0, gt=0)
+    target_gap_s: float = pydantic.Field(default=1.0, gt=0)
+    priority: int = pydantic.Field(default=0, ge=0)
+    attempts_max: int = pydantic.Field(default=2, ge=1)
+    open_to_all: bool = False
+
+
+class ServiceModel(Model):
+    """One service."""
+
+    name: str
+    connections_max: int = pydantic.Field(default=256, ge=1)
+    cold_rate: float = pydantic.Field(default=0.0, ge=0)
+
+
+class KeyHolderModel(Model):
+    """An organisation and its keys."""
+
+    organisation: str
+    keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class RouteTableModel(Model):
+    """A whole route table."""
+
+    version: int = pydantic.Field(ge=1)
+    routes: tuple[RouteModel, ...]
+    services: tuple[ServiceModel, ...]
+    key_holders: tuple[KeyHolderModel, ...] = ()
+    needs_keys: bool = False
+
+
+class AnnouncementModel(Model):
+    """A backend server's announcement."""
+
+    service: str
+    address: str
+    availability_zone: str
+    born_ms: int = pydantic.Field(default=0, ge=0)
+    sequence: int = pydantic.Field(ge=0)
+    slots: int = pydantic.Field(default=0, ge=0)
+    cold_s: float = pydantic.Field(default=0.0, ge=0)
+    leaving: bool = False
+
+
+class DepartureModel(Model):
+    """Which incarnation leaves."""
+
+    born_ms: int = pydantic.Field(default=0, ge=0)
+
+
+def find_table_fault(table: routetables.RouteTable) -> str:
+    """Returns why a route table contradicts itself, or an empty string."""
+    services = {service.name for service in table.services}
+    places: set[tuple[str, str]] = set()
+    for route in table.routes:
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            return f"two routes have host {route.host} and prefix {route.path_prefix}"
+        places.add(place)
+        unknown = {item.service for item in route.services} - services
+        if unknown:
+            return f"route {route.name} names the unknown service {min(unknown)}"
+        if sum(item.weight for item in route.services) <= 0:
+            return f"the weights of route {route.name} add up to nothing"
+        if route.timeout_s <= 0:
+            return f"route {route.name} has no time"
+    keys = [key for holder in table.key_holders for key in holder.keys]
+    if len(set(keys)) < len(keys):
+        return "two organisations share a key"
+    return ""
+
+
+def check_table(
+    table: routetables.RouteTable,
+) -> result.Result[routetables.RouteTable, errors.BorderError]:
+    """Refuses a route table that contradicts itself."""
+    fault = find_table_fault(table)
+    if fault:
+        return result.Failure(errors.BorderError(fault, "read route table"))
+    return result.Success(table)
+
+
+@controlcalls.register_dialect("native")
+class NativeDialect:
+    """The product's own dialect."""
+
+    headers = HEADERS
+
+    def read_call(self, method: str, target: str) -> controlcalls.Call | None:
+        """Reads the start line of a call to the system itself."""
+        path, _, query = target.partition("?")
+        match method, path.strip("/").split("/"):
+            case "PUT", ["v1", "routes"]:
+                return controlcalls.PutTable()
+            case "GET", ["v1", "routes"]:
+                return controlcalls.ReadTable()
+            case (("PUT" | "DELETE"), ["v1", "zones-out", zone]):
+                return controlcalls.SetZone(zone, method == "PUT")
+            case "PUT", ["v1", "backend-servers", name]:
+                return controlcalls.Announce(name)
+            case "DELETE", ["v1", "backend-servers", name]:
+                return controlcalls.Leave(name)
+            case "GET", ["v1", "entries"]:
+                asked = urllib.parse.parse_qs(query)
+                return controlcalls.ListEntries(asked.get("zone", [""])[0])
+            case "GET", ["v1", "ready"]:
+                return controlcalls.CheckReady()
+        return None
+
+    def read_table(
+        self, body: bytes
+    ) -> result.Result[routetables.RouteTable, errors.BorderError]:
+        """Reads a route table."""
+        try:
+            model = RouteTableModel.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            return describe(error, "read route table")
+        return check_table(
+            routetables.RouteTable(
+                model.version,
+                tuple(_make_route(route) for route in model.routes),
+                tuple(
+                    routetables.ServiceDeclaration(**service.model_dump())
+                    for service in model.services
+                ),
+                tuple(
+                    routetables.KeyHolder(**holder.model_dump())
+                    for holder in model.key_holders
+                ),
+                model.needs_keys,
+            )
+        )
+
+    def read_announcement(
+        self, server: str, body: bytes
+    ) -> result.Result[roster.ServerListing, errors.BorderError]:
+        """Reads a backend server's announcement."""
+        try:
+            model = AnnouncementModel.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            return describe(error, "read announcement")
+        return result.Success(roster.ServerListing(name=server, **model.model_dump()))
+
+    def read_departure(self, server: str, body: bytes) -> roster.Departure:
+        """Reads which incarnation leaves."""
+        try:
+            model = DepartureModel.model_validate_json(body or b"{}")
+        except pydantic.ValidationError:
+            model = DepartureModel()
+        return roster.Departure(server, model.born_ms)
+
+    def read_key(self, authorization: str) -> str:
+        """Reads the key from an ``Authorization`` header."""
+        if authorization.startswith(KEY_SCHEME):
+            return authorization.removeprefix(KEY_SCHEME).strip()
+        return ""
+
+    def write_entries(self, addresses: tuple[str, ...], valid_s: float) -> bytes:
+        """Writes the addresses that callers may use."""
+        return json.dumps({"addresses": addresses, "valid_for_s": valid_s}).encode()
+
+
+def _make_route(model: RouteModel) -> routetables.Route:
+    values: dict[str, typing.Any] = {
+        name: getattr(model, name) for name in RouteModel.model_fields
+    }
+    values["services"] = tuple(
+        routetables.WeightedService(item.service, item.weight)
+        for item in model.services
+    )
+    return routetables.Route(**values)
+
+
+def describe(
+    error: pydantic.ValidationError, step: str
+) -> result.Result[typing.Any, errors.BorderError]:
+    """Makes the failure for a document that its model refuses."""
+    problem = error.errors()[0]
+    place = ".".join(str(part) for part in problem["loc"])
+    return result.Failure(errors.BorderError(f"{place}: {problem['msg']}", step))
--- a/src/lycheegauge/internal/protocol/work.py
+++ b/src/lycheegauge/internal/protocol/work.py
@@ -39,6 +39,10 @@
     LOG_UNAVAILABLE = "log_unavailable"
     CANCELLED = "cancelled"
     BACKEND_SERVER_CRASHED = "backend_server_crashed"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_KEY = "unknown_key"
+    NO_ROUTE_TABLE = "no_route_table"
+    BACKEND_SERVERS_FULL = "backend_servers_full"
 
 
 class RetryReason(enum.StrEnum):
@@ -51,6 +55,8 @@
     SETTLED_NOT_RUN = "settled_not_run"
     BACKEND_SERVER_CRASHED = "backend_server_crashed"
     SUSPECT_BUSY = "suspect_busy"
+    BACKEND_SERVER_REFUSED = "backend_server_refused"
+    BACKEND_SERVER_ERROR = "backend_server_error"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/state/journal.py
+++ b/src/lycheegauge/internal/state/journal.py
@@ -31,13 +31,19 @@
         folder: The data folder.
         host: The host's name, for a new identity in an empty folder.
         files: The file operations; tests put a failing disk here.
+        first_disk_id: The disk id for an empty folder; a random one if empty.
     """
 
     def __init__(
-        self, folder: pathlib.Path, host: str, files: disk.Files | None = None
+        self,
+        folder: pathlib.Path,
+        host: str,
+        files: disk.Files | None = None,
+        first_disk_id: str = "",
     ) -> None:
         self._folder = folder
         self._host = host
+        self._first_disk_id = first_disk_id
         self._files = files or disk.Files()
         self._log: typing.BinaryIO | None = None
         self._entries: list[agreement.LogEntry] = []
@@ -183,7 +189,8 @@
                 "and start the host with an empty data folder",
                 "open journal",
             )
-        identity = agreement.Voter(self._host, uuid.uuid4().hex)
+        disk_id = self._first_disk_id or uuid.uuid4().hex
+        identity = agreement.Voter(self._host, disk_id)
         self._files.replace(
             self._folder / IDENTITY_FILE, records.build_record(0, codec.pack(identity))
         )
--- /dev/null
+++ b/src/lycheegauge/internal/state/routing.py
@@ -0,0 +1,110 @@
+"""The replicated routing state: route table, zones out, departures.
+
+The highest version of a route table is in force. A table whose version is not
+higher changes nothing and is still accepted, so that a resend and a table that
+was overtaken have a final outcome.
+
+Departures are kept because a leader that is lost right after it acknowledged
+one takes its own memory of it along.
+"""
+
+import collections
+import typing
+
+from lycheegauge.internal.protocol import changes, codec, roster
+from lycheegauge.internal.state import machine
+
+MAX_DEPARTURES = 512
+"""Oldest departures go first; a leaving server exits within a minute."""
+
+
+@machine.register_part(
+    "routing", changes.PutRouteTable, changes.SetZoneOut, changes.NoteDeparture
+)
+class RoutingPart:
+    """Applies the changes of the routing state.
+
+    Attributes:
+        revision: Counts the changes that had an effect.
+        restrictions_revision: The revision that last changed ``restrictions``.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.table: roster.RouteDocument | None = None
+        self.restrictions = roster.Restrictions(0)
+        self._zones_out: set[str] = set()
+        self._departures: collections.OrderedDict[roster.Departure, None] = (
+            collections.OrderedDict()
+        )
+
+    def apply(self, change: changes.Change) -> changes.Outcome:
+        """Applies one committed change."""
+        match change:
+            case changes.PutRouteTable():
+                self._put_table(change)
+            case changes.SetZoneOut():
+                self._set_zone(change)
+            case changes.NoteDeparture():
+                self._note_departure(change)
+            case _:
+                raise TypeError(f"{type(change).__name__} is no routing change")
+        return changes.RoutingOutcome(changes.ChangeStatus.ACCEPTED, self.revision)
+
+    def has_departed(self, departure: roster.Departure) -> bool:
+        """Tells whether an incarnation of a backend server has departed."""
+        return departure in self._departures
+
+    def dump(self) -> bytes:
+        """Returns the whole part for a snapshot."""
+        return codec.pack(
+            roster.RoutingState(
+                self.revision,
+                self.table,
+                tuple(sorted(self._zones_out)),
+                tuple(self._departures),
+            )
+        )
+
+    def load(self, body: bytes) -> None:
+        """Replaces the part by what ``dump`` returned.
+
+        Raises:
+            errors.BorderError: The bytes are no routing state.
+        """
+        state = typing.cast(roster.RoutingState, codec.unpack(body))
+        self.revision = state.revision
+        self.table = state.table
+        self._zones_out = set(state.zones_out)
+        self._departures = collections.OrderedDict.fromkeys(state.departures)
+        self._publish_restrictions()
+
+    def _put_table(self, change: changes.PutRouteTable) -> None:
+        if self.table is None or change.version > self.table.version:
+            self.table = roster.RouteDocument(change.version, change.document)
+            self.revision += 1
+
+    def _set_zone(self, change: changes.SetZoneOut) -> None:
+        if change.out == (change.availability_zone in self._zones_out):
+            return
+        if change.out:
+            self._zones_out.add(change.availability_zone)
+        else:
+            self._zones_out.discard(change.availability_zone)
+        self.revision += 1
+        self._publish_restrictions()
+
+    def _note_departure(self, change: changes.NoteDeparture) -> None:
+        departure = roster.Departure(change.server, change.born_ms)
+        if departure in self._departures:
+            return
+        self._departures[departure] = None
+        while len(self._departures) > MAX_DEPARTURES:
+            self._departures.popitem(last=False)
+        self.revision += 1
+        self._publish_restrictions()
+
+    def _publish_restrictions(self) -> None:
+        self.restrictions = roster.Restrictions(
+            self.revision, tuple(sorted(self._zones_out)), tuple(self._departures)
+        )
--- a/src/lycheegauge/internal/transport/clock.py
+++ b/src/lycheegauge/internal/transport/clock.py
@@ -6,8 +6,12 @@
 
 
 def read_clock() -> float:
-    """Returns monotonic seconds since an arbitrary start."""
-    return time.monotonic()
+    """Returns monotonic seconds since an arbitrary start, suspended time included.
+
+    A lease that did not count the time of a suspended machine would outlast its
+    issuer's bound.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 NameStart = collections.abc.Callable[[int, random.Random], str]
--- /dev/null
+++ b/src/lycheegauge/internal/transport/ingress.py
@@ -0,0 +1,195 @@
+"""The listener for callers whose requests are forwarded as they are."""
+
+import collections.abc
+import typing
+
+import tornado.http1connection
+import tornado.httputil
+import tornado.iostream
+
+from lycheegauge.internal.transport import clock
+
+UNSENT_MAX_BYTES = 65_536
+"""A caller that leaves so much unread has to catch up before more is sent."""
+
+
+class Exchange:
+    """One request of a caller and the answer to it.
+
+    Attributes:
+        method: The request's method.
+        target: The request target, as it was sent.
+        headers: The request's headers.
+        body: The whole body.
+        arrived_at: When the whole request was read, in seconds.
+        is_gone: Whether the caller has closed its connection.
+        is_started: Whether an answer was begun.
+    """
+
+    def __init__(
+        self,
+        connection: tornado.http1connection.HTTP1Connection,
+        start: tornado.httputil.RequestStartLine,
+        headers: tornado.httputil.HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        self.method = start.method
+        self.target = start.path
+        self.headers = headers
+        self.body = body
+        self.arrived_at = clock.read_clock()
+        self.is_gone = False
+        self.is_started = False
+        self.closes = False
+        self._connection = connection
+        self._note_gone: collections.abc.Callable[[], object] | None = None
+        connection.set_close_callback(self._mark_gone)
+
+    def call_when_gone(self, note: collections.abc.Callable[[], object]) -> None:
+        """Has ``note`` called once when the caller closes its connection."""
+        self._note_gone = note
+
+    def start(
+        self, status: int, reason: str, headers: tornado.httputil.HTTPHeaders
+    ) -> None:
+        """Sends the head of the answer."""
+        self.is_started = True
+        if self.closes:
+            headers["Connection"] = "close"
+        line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        self._write(lambda: self._connection.write_headers(line, headers))
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body; waits if the caller reads slowly."""
+        sent = self._write(lambda: self._connection.write(data))
+        stream = self._connection.stream
+        if sent is not None and stream is not None:
+            if len(stream._write_buffer) > UNSENT_MAX_BYTES:
+                try:
+                    await sent
+                except tornado.iostream.StreamClosedError:
+                    self._mark_gone()
+
+    def finish(self) -> None:
+        """Ends the answer regularly."""
+        if not self.is_gone:
+            self._note_gone = None
+            self._connection.finish()
+
+    def answer(
+        self,
+        status: int,
+        reason: str,
+        body: bytes,
+        headers: collections.abc.Mapping[str, str],
+    ) -> None:
+        """Sends a whole answer."""
+        made = tornado.httputil.HTTPHeaders()
+        for name, text in headers.items():
+            made.add(name, text)
+        made["Content-Length"] = str(len(body))
+        self.start(status, reason, made)
+        if body and self.method != "HEAD":
+            self._write(lambda: self._connection.write(body))
+        self.finish()
+
+    def abort(self) -> None:
+        """Closes the connection, so that a begun answer can't look complete."""
+        self._note_gone = None
+        self.is_gone = True
+        self._connection.close()
+
+    def _write(self, write: collections.abc.Callable[[], typing.Any]) -> typing.Any:
+        if self.is_gone:
+            return None
+        sent = write()
+        # A failed write is the caller's leaving, which the close callback tells.
+        sent.add_done_callback(lambda future: future.exception())
+        return sent
+
+    def _mark_gone(self) -> None:
+        self.is_gone = True
+        note, self._note_gone = self._note_gone, None
+        if note is not None:
+            note()
+
+
+Handler = collections.abc.Callable[[Exchange], None]
+
+
+class Ingress(tornado.httputil.HTTPServerConnectionDelegate):
+    """Reads whole requests and hands each to a handler.
+
+    Args:
+        handle: Takes an exchange and sees to its answer.
+        body_limit: The largest body, in bytes.
+    """
+
+    def __init__(self, handle: Handler, body_limit: int) -> None:
+        self.handle = handle
+        self.body_limit = body_limit
+        self.idle: set[tornado.http1connection.HTTP1Connection] = set()
+
+    def start_request(
+        self, server_conn: object, request_conn: tornado.httputil.HTTPConnection
+    ) -> tornado.httputil.HTTPMessageDelegate:
+        """Prepares to read one request."""
+        connection = typing.cast(tornado.http1connection.HTTP1Connection, request_conn)
+        connection.stream.set_nodelay(True)
+        self.idle.add(connection)
+        return _RequestReader(self, connection)
+
+    def on_close(self, server_conn: object) -> None:
+        """Does nothing; each exchange sees to its own connection."""
+
+    def close_idle(self) -> None:
+        """Closes the connections that wait for a request."""
+        for connection in list(self.idle):
+            connection.close()
+        self.idle.clear()
+
+
+class _RequestReader(tornado.httputil.HTTPMessageDelegate):
+    """Collects one request."""
+
+    def __init__(
+        self, ingress: Ingress, connection: tornado.http1connection.HTTP1Connection
+    ) -> None:
+        self._ingress = ingress
+        self._connection = connection
+        self._start: tornado.httputil.RequestStartLine | None = None
+        self._headers = tornado.httputil.HTTPHeaders()
+        self._body = bytearray()
+
+    def headers_received(
+        self,
+        start_line: (
+            tornado.httputil.RequestStartLine | tornado.httputil.ResponseStartLine
+        ),
+        headers: tornado.httputil.HTTPHeaders,
+    ) -> None:
+        """Takes the head."""
+        self._ingress.idle.discard(self._connection)
+        self._start = typing.cast(tornado.httputil.RequestStartLine, start_line)
+        self._headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes a part of the body."""
+        if len(self._body) <= self._ingress.body_limit:
+            self._body += chunk
+
+    def finish(self) -> None:
+        """Hands the whole request on."""
+        assert self._start is not None
+        exchange = Exchange(
+            self._connection, self._start, self._headers, bytes(self._body)
+        )
+        if len(self._body) > self._ingress.body_limit:
+            exchange.closes = True
+            exchange.answer(413, "Content Too Large", b"", {})
+            return
+        self._ingress.handle(exchange)
+
+    def on_connection_close(self) -> None:
+        """Forgets a request that was not read whole."""
+        self._ingress.idle.discard(self._connection)
--- a/src/lycheegauge/internal/transport/peers.py
+++ b/src/lycheegauge/internal/transport/peers.py
@@ -72,6 +72,7 @@
         method: collections.abc.Callable[[grpclib.client.Channel], typing.Any],
         message: typing.Any,
         timeout_s: float = CALL_TIMEOUT_S,
+        drop_on_failure: bool = False,
     ) -> typing.Any:
         """Makes one unary call with data classes at both ends.
 
@@ -81,13 +82,21 @@
             method: Picks the stub's method for a channel.
             message: The data class to send.
             timeout_s: How long to wait for the answer, in seconds.
+            drop_on_failure: Whether the next call opens a new connection after a
+                failure. This one may have gone silent for good; calls that
+                share it are broken off.
 
         Raises:
             errors.PeerUnreachableError: The peer gave no answer in time.
         """
-        with translate_failures(step, address):
-            call = method(self.get_channel(address))
-            reply = await call(codec.encode(message), timeout=timeout_s)
+        try:
+            with translate_failures(step, address):
+                call = method(self.get_channel(address))
+                reply = await call(codec.encode(message), timeout=timeout_s)
+        except errors.PeerUnreachableError:
+            if drop_on_failure:
+                self.drop_channel(address)
+            raise
         return codec.decode(reply)
 
 
--- a/src/lycheegauge/internal/transport/services.py
+++ b/src/lycheegauge/internal/transport/services.py
@@ -28,12 +28,7 @@
 
     async def Deliver(self, stream: typing.Any) -> None:  # noqa: N802
         """Takes messages of the replicated log."""
-        batch = await stream.recv_message()
-        if batch is None:
-            return
-        for packed in batch.messages:
-            await self._deliver(codec.unwrap(packed))
-        await stream.send_message(codec.encode(proposals.Received()))
+        await receive_batch(stream, self._deliver)
 
     async def Propose(self, stream: typing.Any) -> None:  # noqa: N802
         """Commits a change."""
@@ -56,6 +51,54 @@
         await peers.answer_unary(stream, self._lease_shares)
 
 
+class RosterHostService(services_grpc.RosterHostBase):
+    """What a log host of a forwarding deployment offers to the other hosts."""
+
+    def __init__(
+        self,
+        deliver: peers.Handler,
+        pull: peers.Handler,
+        relay: peers.Handler,
+        list_log_hosts: peers.Handler,
+        take_crash: peers.Handler,
+    ) -> None:
+        self._deliver = deliver
+        self._pull = pull
+        self._relay = relay
+        self._list_log_hosts = list_log_hosts
+        self._take_crash = take_crash
+
+    async def Deliver(self, stream: typing.Any) -> None:  # noqa: N802
+        """Takes messages of the replicated log."""
+        await receive_batch(stream, self._deliver)
+
+    async def Pull(self, stream: typing.Any) -> None:  # noqa: N802
+        """Gives a host its proof and what it has not seen."""
+        await peers.answer_unary(stream, self._pull)
+
+    async def Relay(self, stream: typing.Any) -> None:  # noqa: N802
+        """Answers a control call that a follower received."""
+        await peers.answer_unary(stream, self._relay)
+
+    async def ListLogHosts(self, stream: typing.Any) -> None:  # noqa: N802
+        """Tells who the log hosts are."""
+        await peers.answer_unary(stream, self._list_log_hosts)
+
+    async def TakeCrash(self, stream: typing.Any) -> None:  # noqa: N802
+        """Takes news of a crash."""
+        await peers.answer_unary(stream, self._take_crash)
+
+
+async def receive_batch(stream: typing.Any, deliver: peers.Handler) -> None:
+    """Hands on each message of a batch and acknowledges the batch."""
+    batch = await stream.recv_message()
+    if batch is None:
+        return
+    for packed in batch.messages:
+        await deliver(codec.unwrap(packed))
+    await stream.send_message(codec.encode(proposals.Received()))
+
+
 class EntryService(services_grpc.EntryBase):
     """What an entry host offers to agents and to other entry hosts."""
 
--- /dev/null
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -0,0 +1,335 @@
+"""Kept HTTP connections to backend servers.
+
+tornado's client opens a connection for each request and does not tell an extra
+answer from the next one, so the parsing is h11's and the connections are kept
+here.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import re
+import socket
+import typing
+
+import h11
+
+from lycheegauge import errors
+from lycheegauge.internal.transport import clock, peers
+
+CONNECT_TIMEOUT_S = 0.4
+"""A lost opening packet is sent again after seconds; another server is faster."""
+
+UNACKNOWLEDGED_MS = 1500
+"""Sent bytes without an acknowledgement for so long show a dark server, in ms."""
+
+PROBE_AFTER_S = 1
+PROBE_INTERVAL_S = 1
+PROBES_MAX = 2
+"""A silent connection is probed, since a cut closes nothing."""
+
+IDLE_UNTOLD_S = 2.0
+"""How long a connection is kept whose server does not tell its own limit."""
+
+IDLE_MARGIN_S = 1.0
+"""Kept connections are given up this long before the server would close them."""
+
+IDLE_MAX_S = 20.0
+"""No connection is kept idle for longer, in seconds."""
+
+PAUSE_READING_BYTES = 262_144
+"""Unread bytes of an answer beyond which the server must wait."""
+
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer, header names in lower case."""
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+
+    def get(self, name: str) -> str:
+        """Returns a header's value, or an empty string."""
+        lowered = name.lower()
+        return next((value for key, value in self.headers if key == lowered), "")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Method, target and headers of a request to a backend server."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection, which serves one request at a time."""
+
+    def __init__(self) -> None:
+        self.idle_since = 0.0
+        self.idle_limit_s = IDLE_UNTOLD_S
+        self.served = 0
+        self._codec = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._events: collections.deque[typing.Any] = collections.deque()
+        self._unread_bytes = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self._failure = ""
+        self._is_busy = False
+        self._is_reading_paused = False
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the open connection."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        _set_options(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came; bytes while no answer is due end the connection."""
+        if not self._is_busy:
+            self._fail("the server sent bytes that answer no request")
+            return
+        self._codec.receive_data(data)
+        self._parse()
+
+    def eof_received(self) -> bool:
+        """Ends an answer that has no length; breaks off any other."""
+        if self._is_busy and not self._failure:
+            self._codec.receive_data(b"")
+            self._parse()
+        if not (self._events and isinstance(self._events[-1], h11.EndOfMessage)):
+            self._failure = self._failure or "the server closed the connection"
+        self._wake()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Notes why the connection ended."""
+        reason = f"the connection was lost: {error}" if error else "closed"
+        self._failure = self._failure or reason
+        self._wake()
+
+    # Called by the pool and by requests.
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent."""
+        return not self._failure and not self._is_busy and self._transport is not None
+
+    def send(self, head: RequestHead, body: bytes) -> None:
+        """Sends a request.
+
+        Raises:
+            errors.BorderError: The head can't be written as HTTP.
+        """
+        assert self._transport is not None
+        try:
+            sent = self._codec.send(
+                h11.Request(
+                    method=head.method, target=head.target, headers=list(head.headers)
+                )
+            )
+            if body:
+                sent += self._codec.send(h11.Data(data=body)) or b""
+            sent += self._codec.send(h11.EndOfMessage()) or b""
+        except h11.LocalProtocolError as error:
+            raise errors.BorderError(str(error), "send request") from error
+        self._is_busy = True
+        self.served += 1
+        self._transport.write(sent)
+
+    async def read_head(self) -> AnswerHead:
+        """Waits for the answer's head.
+
+        Raises:
+            errors.BackendServerFailedError: The answer broke off or is none.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                break
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers
+        )
+        self._note_keep_alive(event)
+        reason = event.reason.decode("latin-1")
+        return AnswerHead(event.status_code, reason, headers)
+
+    async def read_body(self) -> bytes:
+        """Waits for a part of the body; empty at its regular end.
+
+        Raises:
+            errors.BackendServerFailedError: The answer broke off.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.EndOfMessage):
+            self._finish()
+            return b""
+        # Parts that came together are passed on together.
+        parts = [bytes(event.data)]
+        while self._events and isinstance(self._events[0], h11.Data):
+            parts.append(bytes(self._take_event().data))
+        return b"".join(parts)
+
+    def abort(self) -> None:
+        """Closes the connection at once, so that the server stops its work."""
+        self._failure = self._failure or "aborted"
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _finish(self) -> None:
+        """Makes the connection ready for the next request, or closes it."""
+        self._is_busy = False
+        trailing, _ = self._codec.trailing_data
+        if (
+            trailing
+            or self._codec.our_state is not h11.DONE
+            or (self._codec.their_state is not h11.DONE)
+        ):
+            self.abort()
+            return
+        self._codec.start_next_cycle()
+        self.idle_since = clock.read_clock()
+
+    async def _next_event(self) -> typing.Any:
+        while not self._events:
+            if self._failure:
+                raise errors.BackendServerFailedError(self._failure, "read answer")
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        return self._take_event()
+
+    def _take_event(self) -> typing.Any:
+        event = self._events.popleft()
+        if isinstance(event, h11.Data):
+            self._unread_bytes -= len(event.data)
+            if self._is_reading_paused and self._unread_bytes < PAUSE_READING_BYTES:
+                self._is_reading_paused = False
+                if self._transport is not None and not self._transport.is_closing():
+                    self._transport.resume_reading()
+        return event
+
+    def _parse(self) -> None:
+        try:
+            while True:
+                event = self._codec.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    break
+                if isinstance(event, h11.ConnectionClosed):
+                    break
+                self._events.append(event)
+                if isinstance(event, h11.Data):
+                    self._unread_bytes += len(event.data)
+                if isinstance(event, h11.EndOfMessage):
+                    break
+        except h11.RemoteProtocolError as error:
+            self._fail(f"the answer is no HTTP, or broke off: {error}")
+            return
+        if self._unread_bytes > PAUSE_READING_BYTES and self._transport is not None:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+        self._wake()
+
+    def _fail(self, reason: str) -> None:
+        self._failure = self._failure or reason
+        self.abort()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _note_keep_alive(self, head: h11.Response) -> None:
+        for name, value in head.headers:
+            if name == b"keep-alive":
+                found = KEEP_ALIVE_TIMEOUT.search(value)
+                if found:
+                    told = float(found.group(1))
+                    limit = max(told - IDLE_MARGIN_S, told / 2)
+                    self.idle_limit_s = min(IDLE_MAX_S, limit)
+
+
+class ConnectionPool:
+    """Keeps idle connections by backend server.
+
+    The key is a server's name with its address, so that an address that another
+    server took over is never reached through a kept connection.
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[UpstreamConnection]] = {}
+
+    async def open(self, key: str, address: str) -> UpstreamConnection:
+        """Returns a kept connection, or a new one.
+
+        Raises:
+            errors.PeerUnreachableError: The server can't be connected to.
+        """
+        kept = self._take_idle(key)
+        if kept is not None:
+            return kept
+        host, port = peers.split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    UpstreamConnection, host, port
+                )
+        except (OSError, TimeoutError) as error:
+            detail = f"can't connect: {type(error).__name__} {error}"
+            raise errors.PeerUnreachableError(detail, "connect", address) from error
+        return connection
+
+    def give_back(self, key: str, connection: UpstreamConnection) -> None:
+        """Keeps a connection whose answer is complete, if it can be used again."""
+        if connection.is_usable:
+            self._idle.setdefault(key, []).append(connection)
+
+    def sweep(self, keys: typing.Container[str]) -> None:
+        """Closes connections that were idle for long, or whose server is gone."""
+        now = clock.read_clock()
+        for key, connections in list(self._idle.items()):
+            kept = [c for c in connections if key in keys and _is_fresh(c, now)]
+            for connection in connections:
+                if connection not in kept:
+                    connection.abort()
+            if kept:
+                self._idle[key] = kept
+            else:
+                del self._idle[key]
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        self.sweep(())
+
+    def _take_idle(self, key: str) -> UpstreamConnection | None:
+        connections = self._idle.get(key, [])
+        now = clock.read_clock()
+        while connections:
+            connection = connections.pop()
+            if _is_fresh(connection, now):
+                return connection
+            connection.abort()
+        return None
+
+
+def _is_fresh(connection: UpstreamConnection, now: float) -> bool:
+    idle_s = now - connection.idle_since
+    return connection.is_usable and idle_s < connection.idle_limit_s
+
+
+def _set_options(opened: socket.socket) -> None:
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in (
+        (socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+        (socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, PROBES_MAX),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        opened.setsockopt(socket.IPPROTO_TCP, option, setting)
--- a/src/lycheegauge/internal/transport/web.py
+++ b/src/lycheegauge/internal/transport/web.py
@@ -6,6 +6,7 @@
 import typing
 
 import tornado.httpserver
+import tornado.httputil
 import tornado.iostream
 import tornado.netutil
 import tornado.web
@@ -92,7 +93,9 @@
     def __init__(
         self,
         address: str,
-        application: tornado.web.Application,
+        application: (
+            tornado.web.Application | tornado.httputil.HTTPServerConnectionDelegate
+        ),
         limits: settings.Limits,
     ) -> None:
         self._host, self._port = peers.split_address(address)
--- a/src/lycheegauge/settings.py
+++ b/src/lycheegauge/settings.py
@@ -117,16 +117,85 @@
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
+class RosterSettings(Model):
+    """How the hosts of a forwarding deployment keep in touch.
+
+    ``seed_hosts`` are the control addresses of up to three log hosts; their
+    peers listen on the port of this host's own ``peer_address``. ``lease_s`` is
+    how long a host may act on what the log's leader proved to it: less than the
+    time after which a removed key must not open anything.
+    """
+
+    seed_hosts: tuple[Address, ...] = pydantic.Field(min_length=1, max_length=9)
+    lease_s: float = pydantic.Field(default=2.5, gt=0, le=60)
+    pull_interval_s: float = pydantic.Field(default=0.3, gt=0, le=10)
+
+
+class RepeatSettings(Model):
+    """How often requests may be sent again, over all entry hosts together."""
+
+    ratio: float = pydantic.Field(default=0.2, ge=0, le=1)
+    slack: float = pydantic.Field(default=20.0, ge=0, le=100_000)
+    window_s: float = pydantic.Field(default=10.0, gt=0, le=600)
+
+
+class GatewaySettings(Model):
+    """Settings of an entry host that forwards requests as they are."""
+
+    name: Name
+    availability_zone: Name
+    caller_address: Address
+    readiness_address: Address
+    peer_address: Address
+    metrics_address: Address | None = None
+    dialect: str = "native"
+    roster: RosterSettings
+    repeats: RepeatSettings = RepeatSettings()
+    limits: Limits = Limits()
+    stop_timeout_s: float = pydantic.Field(default=7.0, gt=0, le=3600)
+    log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class ControlSettings(Model):
+    """Settings of a log host of a forwarding deployment.
+
+    With ``bootstrap`` the seeds form the first membership; it must be set only
+    when the whole system starts for the first time. ``announce_interval_s`` is
+    how often backend servers announce themselves.
+    """
+
+    name: Name
+    availability_zone: Name
+    control_address: Address
+    directory_address: Address
+    peer_address: Address
+    metrics_address: Address | None = None
+    data_folder: pathlib.Path
+    bootstrap: bool = False
+    dialect: str = "native"
+    roster: RosterSettings
+    announce_interval_s: float = pydantic.Field(default=1.2, gt=0, le=60)
+    answer_valid_s: float = pydantic.Field(default=2.0, gt=0, le=600)
+    snapshot_entries: int = pydantic.Field(default=200, ge=10, le=1_000_000)
+    limits: Limits = Limits(body_bytes=8_388_608)
+    stop_timeout_s: float = pydantic.Field(default=2.0, gt=0, le=3600)
+    log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
 class SettingsFile(Model):
     """One settings file: exactly one of its parts is present."""
 
     entry: EntrySettings | None = None
     agent: AgentSettings | None = None
+    gateway: GatewaySettings | None = None
+    control: ControlSettings | None = None
 
     @pydantic.model_validator(mode="after")
     def _check_one_part(self) -> "SettingsFile":
-        if (self.entry is None) == (self.agent is None):
-            raise ValueError("needs exactly one of the keys 'entry' and 'agent'")
+        parts = [getattr(self, name) for name in type(self).model_fields]
+        if sum(part is not None for part in parts) != 1:
+            names = ", ".join(type(self).model_fields)
+            raise ValueError(f"needs exactly one of the keys {names}")
         return self
 
 
