Have expert maps follow demand: agents beside engines, a switch under a held pass

Ruled out: reading counts from afar (priced, and pauses the group); arming without a held pass (one lost order would let two maps run in one pass).

--- /dev/null
+++ b/src/lycheegauge/internal/coordination/groups/demand.py
@@ -0,0 +1,60 @@
+"""Which experts are in demand lately, from counts that only grow."""
+
+import collections.abc
+import math
+
+from lycheegauge.internal.protocol import maporders
+
+HALF_LIFE_S = 1.0
+"""Demand counts half after so long: short against the seconds between shifts,
+long against the interval of the counts."""
+
+
+class Demand:
+    """Adds up the ranks' choices, older ones fading."""
+
+    def __init__(self) -> None:
+        self._last: dict[tuple[str, int], tuple[int, ...]] = {}
+        self._loads: list[float] = []
+        self._at = -math.inf
+
+    @property
+    def total(self) -> float:
+        """The choices that count now, faded ones less."""
+        return sum(self._loads)
+
+    def take(
+        self, reports: collections.abc.Iterable[maporders.EngineReport], now: float
+    ) -> None:
+        """Takes one round of reports with counts."""
+        fade = math.pow(0.5, (now - self._at) / HALF_LIFE_S)
+        self._at = now
+        self._loads = [load * fade for load in self._loads]
+        for report in reports:
+            self._add(report)
+
+    def split_layers(self, layers: int) -> list[list[float]]:
+        """Returns each layer's loads by expert; empty before the first counts."""
+        if not self._loads or len(self._loads) % layers:
+            return []
+        size = len(self._loads) // layers
+        return [
+            self._loads[start : start + size]
+            for start in range(0, len(self._loads), size)
+        ]
+
+    def _add(self, report: maporders.EngineReport) -> None:
+        key = (report.server, report.rank)
+        before = self._last.get(key)
+        self._last[key] = report.counts
+        if not report.counts:
+            return
+        if len(self._loads) != len(report.counts):
+            self._loads = [0.0] * len(report.counts)
+        # The first counts of a start cover an unknown time, so they don't count.
+        if before is None or len(before) != len(report.counts):
+            return
+        if sum(report.counts) < sum(before):
+            return
+        for index, (new, old) in enumerate(zip(report.counts, before, strict=True)):
+            self._loads[index] += new - old
--- /dev/null
+++ b/src/lycheegauge/internal/coordination/groups/evenshares.py
@@ -0,0 +1,204 @@
+"""Placement for engines that share an expert's tokens evenly over its ranks.
+
+A pass lasts as long as the slowest rank, layer by layer. From the present
+placement, replicas are added where room is left or where a replica that others
+hold too can be dropped, and experts are exchanged between ranks, as long as the
+slowest rank gets faster. Each rank may copy only a few experts at a time, so
+the search is bounded by that.
+"""
+
+import dataclasses
+import typing
+
+from lycheegauge.internal.coordination.groups import splitting
+
+SMALLEST_GAIN = 1e-3
+"""A step of the search must make the slowest rank faster by this fraction."""
+
+RECEIVERS_TRIED = 4
+"""Least loaded ranks that are tried for each replica."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementBounds:
+    """What a change of one layer may use.
+
+    Attributes:
+        slots: Experts of a layer that a rank has room for.
+        copies: Experts of a layer that a rank may copy in one change.
+    """
+
+    slots: int
+    copies: int
+
+
+Placement: typing.TypeAlias = tuple[tuple[int, ...], ...]
+"""Experts of one layer, by rank."""
+
+
+def place_in_turn(experts: int, ranks: int) -> Placement:
+    """Returns the placement that engines start with: experts in turn."""
+    return tuple(tuple(range(rank, experts, ranks)) for rank in range(ranks))
+
+
+def measure_slowest(
+    placement: Placement, loads: splitting.Numbers, paces: splitting.Numbers
+) -> float:
+    """Measures the slowest rank's time for one layer."""
+    copies = _count_copies(placement, len(loads))
+    return max(
+        pace * sum(loads[expert] / copies[expert] for expert in experts)
+        for experts, pace in zip(placement, paces, strict=True)
+    )
+
+
+def plan_layer(
+    placement: Placement,
+    loads: splitting.Numbers,
+    paces: splitting.Numbers,
+    bounds: PlacementBounds,
+) -> Placement:
+    """Plans the next placement of one layer; the present one if none is better.
+
+    Args:
+        placement: The experts that each rank holds now.
+        loads: Tokens of each expert.
+        paces: How many times longer than usual each rank takes.
+        bounds: What the change may use.
+    """
+    search = _Search(placement, loads, paces, bounds)
+    while search.improve():
+        pass
+    return search.get_placement()
+
+
+class _Search:
+    """A placement that is improved step by step."""
+
+    def __init__(
+        self,
+        placement: Placement,
+        loads: splitting.Numbers,
+        paces: splitting.Numbers,
+        bounds: PlacementBounds,
+    ) -> None:
+        self._before = [frozenset(experts) for experts in placement]
+        self._held = [set(experts) for experts in placement]
+        self._loads = loads
+        self._paces = paces
+        self._bounds = bounds
+        self._holders = [0] * len(loads)
+        for experts in placement:
+            for expert in experts:
+                self._holders[expert] += 1
+        self._times = [self._measure(rank) for rank in range(len(placement))]
+
+    def get_placement(self) -> Placement:
+        """Returns the placement reached, each rank's experts in order."""
+        return tuple(tuple(sorted(experts)) for experts in self._held)
+
+    def improve(self) -> bool:
+        """Takes the best step that makes the slowest rank faster."""
+        slowest = max(range(len(self._times)), key=self._times.__getitem__)
+        limit = self._times[slowest] * (1.0 - SMALLEST_GAIN)
+        best: list[tuple[int, int, int]] | None = None
+        reached = limit
+        for step in self._list_steps(slowest):
+            worst = self._try(step, limit)
+            if worst < reached:
+                best, reached = step, worst
+        if best is None:
+            return False
+        for change in best:
+            self._apply(change)
+        self._times = [self._measure(rank) for rank in range(len(self._held))]
+        return True
+
+    def _list_steps(self, slowest: int) -> list[list[tuple[int, int, int]]]:
+        """Lists steps, each of (rank, expert added, expert dropped) or -1."""
+        steps = []
+        receivers = sorted(range(len(self._times)), key=self._times.__getitem__)
+        experts = sorted(
+            self._held[slowest], key=lambda e: -self._loads[e] / self._holders[e]
+        )
+        for expert in experts:
+            if self._holders[expert] > 1:
+                steps.append([(slowest, -1, expert)])
+            tried = [
+                rank
+                for rank in receivers
+                if rank != slowest and expert not in self._held[rank]
+            ][:RECEIVERS_TRIED]
+            for rank in tried:
+                if not self._may_copy(rank, expert):
+                    continue
+                steps += self._list_transfers(slowest, rank, expert)
+        return steps
+
+    def _list_transfers(
+        self, slowest: int, rank: int, expert: int
+    ) -> list[list[tuple[int, int, int]]]:
+        """Lists ways to have ``rank`` hold an expert of the slowest rank."""
+        steps = []
+        if len(self._held[rank]) < self._bounds.slots:
+            steps.append([(rank, expert, -1)])
+        spare = [other for other in self._held[rank] if self._holders[other] > 1]
+        if len(self._held[rank]) >= self._bounds.slots and spare:
+            least = min(spare, key=lambda e: self._loads[e] / self._holders[e])
+            steps.append([(rank, expert, least)])
+        for other in self._held[rank]:
+            lighter = self._loads[other] < self._loads[expert]
+            is_new = other not in self._held[slowest]
+            if lighter and is_new and self._may_copy(slowest, other):
+                steps.append([(rank, expert, other), (slowest, other, expert)])
+        return steps
+
+    def _may_copy(self, rank: int, expert: int) -> bool:
+        if expert in self._before[rank]:
+            return True
+        copied = len(self._held[rank] - self._before[rank])
+        return copied < self._bounds.copies
+
+    def _try(self, step: list[tuple[int, int, int]], limit: float) -> float:
+        """Returns the slowest time among the ranks that a step changes."""
+        touched = set()
+        for rank, added, dropped in step:
+            touched |= {rank} | self._find_holders(added) | self._find_holders(dropped)
+        for change in step:
+            self._apply(change)
+        # A rank that was at the limit before and is not touched stays there.
+        worst = max(self._measure(rank) for rank in touched)
+        untouched = [
+            time for rank, time in enumerate(self._times) if rank not in touched
+        ]
+        for rank, added, dropped in reversed(step):
+            self._apply((rank, dropped, added))
+        return max(worst, *untouched) if untouched else worst
+
+    def _find_holders(self, expert: int) -> set[int]:
+        if expert < 0:
+            return set()
+        return {rank for rank, held in enumerate(self._held) if expert in held}
+
+    def _apply(self, change: tuple[int, int, int]) -> None:
+        rank, added, dropped = change
+        if added >= 0:
+            self._held[rank].add(added)
+            self._holders[added] += 1
+        if dropped >= 0:
+            self._held[rank].discard(dropped)
+            self._holders[dropped] -= 1
+
+    def _measure(self, rank: int) -> float:
+        work = sum(
+            self._loads[expert] / self._holders[expert] for expert in self._held[rank]
+        )
+        return self._paces[rank] * work
+
+
+def _count_copies(placement: Placement, experts: int) -> list[int]:
+    copies = [0] * experts
+    for held in placement:
+        for expert in held:
+            copies[expert] += 1
+    return copies
--- /dev/null
+++ b/src/lycheegauge/internal/coordination/groups/mapswitch.py
@@ -0,0 +1,362 @@
+"""Switches a lock-step group to another expert map, safely under any loss.
+
+Order of calls: ``PREPARE`` everywhere; ``HOLD`` a pass a little ahead at one
+rank; ``ARM`` that pass everywhere; only when every rank itself says that it is
+armed, ``GO``. No pass from the held one on begins while a rank may be unarmed.
+To give up: ``DISARM`` everywhere, and ``GO`` only when no rank is armed and no
+order that could still arm one is in doubt.
+
+An order without an answer may be carried out much later. Every order has a
+higher fence than all before, so once any later order to the same rank was
+answered, the earlier one is refused for good. A new coordinator first has an
+order of its own answered by every rank, which ends its predecessor's, and then
+finishes or undoes what it finds.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+
+from lycheegauge.internal.protocol import maporders
+
+FENCES_PER_TERM = 1 << 24
+"""Orders that one coordinator can number; tokens stay exact in JSON numbers."""
+
+HOLD_AHEAD_STEPS = 5
+"""The held pass is so far ahead that arming ends before it is due."""
+
+PREPARE_TIMEOUT_S = 4.0
+"""Copies take a few tenths of a second; a longer wait means a lost rank."""
+
+ARM_TIMEOUT_S = 1.0
+"""A group that is held for longer serves nobody, so the switch is given up."""
+
+RESEND_AFTER_S = 0.3
+"""An unanswered ``PREPARE`` is sent again after so long."""
+
+NONE = -1
+
+Reports = collections.abc.Mapping[int, maporders.EngineReport]
+
+
+class Phase(enum.Enum):
+    """How far a switch has come."""
+
+    IDLE = "idle"
+    PREPARING = "preparing"
+    ARMING = "arming"
+    UNDOING = "undoing"
+    RELEASED = "released"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The map to switch to."""
+
+    version: int
+    layers: tuple[maporders.LayerPlacement, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankOrder:
+    """An order and the rank that it goes to."""
+
+    rank: int
+    order: maporders.MapOrder
+
+
+class MapSwitch:
+    """Decides the next orders to one group from fresh reports of all its ranks.
+
+    Args:
+        term: The coordinator's term in the log; later ones are higher.
+    """
+
+    def __init__(self, term: int) -> None:
+        self._fence = term * FENCES_PER_TERM
+        self._answered: dict[int, int] = {}
+        self._in_doubt: dict[int, int] = {}
+        self._prepared_at: dict[int, float] = {}
+        self._group = ""
+        self._epoch = NONE
+        self._target: Target | None = None
+        self._target_version = NONE
+        self._phase_since = 0.0
+        self._released_step = NONE
+        self._highest_version = 0
+        self.is_fenced_out = False
+        self.phase = Phase.IDLE
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether a new target may be set."""
+        return self.phase is Phase.IDLE and self._target is None
+
+    @property
+    def target_version(self) -> int:
+        """The version of the last target; -1 before the first."""
+        return self._target_version
+
+    def make_version(self, reports: Reports) -> int:
+        """Returns a version that no rank has had and no order has named."""
+        named = [self._highest_version]
+        for report in reports.values():
+            named += [
+                report.map_version,
+                report.prepared_version,
+                report.armed_version,
+            ]
+        self._highest_version = max(named) + 1
+        return self._highest_version
+
+    def set_target(self, target: Target, now: float) -> None:
+        """Starts a switch; ``is_idle`` must hold."""
+        self._target = target
+        self._target_version = target.version
+        self._prepared_at.clear()
+        self._enter(Phase.PREPARING, now)
+
+    def decide(self, reports: Reports, now: float) -> list[RankOrder]:
+        """Returns the orders to send now; none while ranks are missing.
+
+        Args:
+            reports: Reports by rank, each read after the last orders' ends.
+            now: Seconds.
+        """
+        if self.is_fenced_out or not _is_complete(reports):
+            return []
+        self._take_epoch(reports, now)
+        unfenced = [rank for rank in reports if rank not in self._answered]
+        if unfenced:
+            return [self._make_fencing(rank, reports) for rank in unfenced]
+        match self.phase:
+            case Phase.IDLE:
+                return self._find_leftovers(reports, now)
+            case Phase.PREPARING:
+                return self._prepare(reports, now)
+            case Phase.ARMING:
+                return self._arm(reports, now)
+            case Phase.UNDOING:
+                return self._undo(reports, now)
+        return self._finish(reports, now)
+
+    def note_reply(
+        self, sent: RankOrder, outcome: maporders.MapOrderOutcome, now: float
+    ) -> None:
+        """Takes an engine's answer to an order."""
+        if sent.order.epoch != self._epoch:
+            return
+        if outcome is maporders.MapOrderOutcome.UNANSWERED:
+            doubted = self._in_doubt.get(sent.rank, NONE)
+            self._in_doubt[sent.rank] = max(doubted, sent.order.fence)
+            return
+        if outcome is maporders.MapOrderOutcome.FENCED:
+            self.is_fenced_out = True
+            return
+        answered = self._answered.get(sent.rank, NONE)
+        self._answered[sent.rank] = max(answered, sent.order.fence)
+        is_refused = outcome in (
+            maporders.MapOrderOutcome.CONFLICT,
+            maporders.MapOrderOutcome.REFUSED,
+        )
+        if is_refused and sent.order.kind is maporders.MapOrderKind.PREPARE:
+            self._drop_target(now)
+        elif is_refused and sent.order.kind is maporders.MapOrderKind.ARM:
+            if self.phase is Phase.ARMING:
+                self._enter(Phase.UNDOING, now)
+
+    # Phases.
+
+    def _find_leftovers(self, reports: Reports, now: float) -> list[RankOrder]:
+        """Finishes or undoes what another coordinator, or a late order, left."""
+        armed = _list_armed(reports)
+        held = _list_held(reports)
+        if not armed and not held:
+            return []
+        self._enter(Phase.UNDOING, now)
+        is_one_switch = len(armed) == len(reports) and (
+            len(_list_switches(reports)) == 1
+        )
+        if is_one_switch and all(
+            reports[rank].held_step == reports[rank].armed_step for rank in held
+        ):
+            # Only a coordinator that saw all armed can have released the pass.
+            self._released_step = next(iter(reports.values())).armed_step
+            self._enter(Phase.RELEASED, now)
+            return self._finish(reports, now)
+        return self._undo(reports, now)
+
+    def _prepare(self, reports: Reports, now: float) -> list[RankOrder]:
+        target = self._target
+        assert target is not None
+        missing = [
+            rank
+            for rank, report in reports.items()
+            if report.prepared_version != target.version
+        ]
+        if not missing:
+            self._enter(Phase.ARMING, now)
+            return self._arm(reports, now)
+        if now - self._phase_since > PREPARE_TIMEOUT_S:
+            self._drop_target(now)
+            return []
+        orders = []
+        for rank in missing:
+            sent_at = self._prepared_at.get(rank, float("-inf"))
+            if not reports[rank].is_busy and now - sent_at > RESEND_AFTER_S:
+                self._prepared_at[rank] = now
+                orders.append(
+                    self._make(
+                        rank,
+                        maporders.MapOrderKind.PREPARE,
+                        version=target.version,
+                        layers=target.layers,
+                    )
+                )
+        return orders
+
+    def _arm(self, reports: Reports, now: float) -> list[RankOrder]:
+        target = self._target
+        assert target is not None
+        held = _list_held(reports)
+        is_late = now - self._phase_since > ARM_TIMEOUT_S
+        if is_late or len(held) > 1 or self._is_unprepared(reports, target):
+            self._enter(Phase.UNDOING, now)
+            return self._undo(reports, now)
+        if not held:
+            step = max(report.step for report in reports.values()) + HOLD_AHEAD_STEPS
+            holder = min(reports)
+            return [self._make(holder, maporders.MapOrderKind.HOLD, step=step)]
+        holder = held[0]
+        step = reports[holder].held_step
+        if self._is_doubtful(holder):
+            # Another hold in doubt could still replace this one.
+            return [self._make(holder, maporders.MapOrderKind.HOLD, step=step)]
+        wanted = (target.version, step)
+        unarmed = [
+            rank
+            for rank, report in reports.items()
+            if (report.armed_version, report.armed_step) != wanted
+        ]
+        if unarmed:
+            arm = maporders.MapOrderKind.ARM
+            return [
+                self._make(rank, arm, version=target.version, step=step)
+                for rank in unarmed
+            ]
+        self._released_step = step
+        self._enter(Phase.RELEASED, now)
+        return self._finish(reports, now)
+
+    def _undo(self, reports: Reports, now: float) -> list[RankOrder]:
+        """Disarms every rank, and releases the pass when none can be armed."""
+        self._target = None
+        doubtful = [rank for rank in reports if self._is_doubtful(rank)]
+        armed = _list_armed(reports)
+        if armed or doubtful:
+            return [
+                self._make(
+                    rank,
+                    maporders.MapOrderKind.DISARM,
+                    version=self._choose_disarmed(reports[rank]),
+                )
+                for rank in sorted({*armed, *doubtful})
+            ]
+        held = _list_held(reports)
+        if not held:
+            self._enter(Phase.IDLE, now)
+            return []
+        return [
+            self._make(rank, maporders.MapOrderKind.GO, step=reports[rank].held_step)
+            for rank in held
+        ]
+
+    def _finish(self, reports: Reports, now: float) -> list[RankOrder]:
+        """Releases the held pass until no rank holds it, and waits for it."""
+        held = [
+            rank
+            for rank in _list_held(reports)
+            if reports[rank].held_step == self._released_step
+        ]
+        if held:
+            go = maporders.MapOrderKind.GO
+            return [self._make(rank, go, step=self._released_step) for rank in held]
+        if not _list_armed(reports):
+            self._drop_target(now)
+        return []
+
+    # Parts.
+
+    def _take_epoch(self, reports: Reports, now: float) -> None:
+        """Starts anew when the group was formed anew, which undoes everything."""
+        report = next(iter(reports.values()))
+        if (report.group, report.epoch) == (self._group, self._epoch):
+            return
+        self._group, self._epoch = report.group, report.epoch
+        self._answered.clear()
+        self._in_doubt.clear()
+        self._released_step = NONE
+        self._drop_target(now)
+
+    def _is_doubtful(self, rank: int) -> bool:
+        """Tells whether an unanswered order may still be carried out."""
+        return self._in_doubt.get(rank, NONE) > self._answered.get(rank, NONE)
+
+    def _is_unprepared(self, reports: Reports, target: Target) -> bool:
+        return any(
+            target.version not in (report.prepared_version, report.armed_version)
+            for report in reports.values()
+        )
+
+    def _choose_disarmed(self, report: maporders.EngineReport) -> int:
+        if report.armed_version != NONE:
+            return report.armed_version
+        return max(self._highest_version, report.prepared_version, 0) + 1
+
+    def _make_fencing(self, rank: int, reports: Reports) -> RankOrder:
+        """Makes an order that changes nothing but shows this coordinator's fence."""
+        version = max(self.make_version(reports), 1)
+        return self._make(rank, maporders.MapOrderKind.DISARM, version=version)
+
+    def _make(
+        self,
+        rank: int,
+        kind: maporders.MapOrderKind,
+        version: int = NONE,
+        step: int = NONE,
+        layers: tuple[maporders.LayerPlacement, ...] = (),
+    ) -> RankOrder:
+        self._fence += 1
+        order = maporders.MapOrder(
+            kind, self._epoch, self._fence, version, step, layers
+        )
+        return RankOrder(rank, order)
+
+    def _drop_target(self, now: float) -> None:
+        self._target = None
+        self._enter(Phase.IDLE, now)
+
+    def _enter(self, phase: Phase, now: float) -> None:
+        self.phase = phase
+        self._phase_since = now
+
+
+def _is_complete(reports: Reports) -> bool:
+    """Tells whether every rank of one open group has reported."""
+    formed = {(report.group, report.epoch) for report in reports.values()}
+    if len(formed) != 1 or not all(report.is_open for report in reports.values()):
+        return False
+    size = next(iter(reports.values())).size
+    return set(reports) == set(range(size))
+
+
+def _list_armed(reports: Reports) -> list[int]:
+    return [rank for rank, report in reports.items() if report.armed_version != NONE]
+
+
+def _list_held(reports: Reports) -> list[int]:
+    return [rank for rank, report in reports.items() if report.held_step != NONE]
+
+
+def _list_switches(reports: Reports) -> set[tuple[int, int]]:
+    return {(report.armed_version, report.armed_step) for report in reports.values()}
--- a/src/lycheegauge/internal/daemons/control.py
+++ b/src/lycheegauge/internal/daemons/control.py
@@ -14,8 +14,8 @@
 
     def __init__(self, part: settings.ControlSettings) -> None:
         self._pool = peers.ChannelPool()
-        self.host = rosterhost.RosterHost(part, self._pool)
         dialect = controlcalls.get_dialect(part.dialect)
+        self.host = rosterhost.RosterHost(part, self._pool, dialect)
         self.gate = controlgate.ControlGate(part, self.host, dialect)
         service = services.RosterHostService(
             self.host.deliver,
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -5,6 +5,7 @@
 import random
 import typing
 import uuid
+import zlib
 
 import loguru
 from returns import result
@@ -14,6 +15,7 @@
 from lycheegauge.internal.coordination.agreement import timing
 from lycheegauge.internal.daemons import (
     logclock,
+    mapcoordination,
     replicasender,
     replication,
     rosterclient,
@@ -21,9 +23,11 @@
 from lycheegauge.internal.protocol import (
     agreement,
     changes,
+    controlcalls,
     freshness,
     proposals,
     roster,
+    routetables,
 )
 from lycheegauge.internal.protocol.generated import services_grpc
 from lycheegauge.internal.state import journal, machine, quarantine, routing
@@ -57,8 +61,16 @@
 class RosterHost:
     """Owns one replica and what the hosts and backend servers tell it."""
 
-    def __init__(self, part: settings.ControlSettings, pool: peers.ChannelPool) -> None:
+    def __init__(
+        self,
+        part: settings.ControlSettings,
+        pool: peers.ChannelPool,
+        dialect: controlcalls.Dialect,
+    ) -> None:
         self.part = part
+        self._dialect = dialect
+        self._read_document: roster.RouteDocument | None = None
+        self._services: tuple[routetables.ServiceDeclaration, ...] = ()
         self.address = part.peer_address
         self._pool = pool
         self.machine = machine.Machine()
@@ -107,7 +119,7 @@
             errors.StorageFailedError: The data folder can't be used.
         """
         await self.task.start()
-        for loop in (self._keep_house, self._keep_following):
+        for loop in (self._keep_house, self._keep_following, self._keep_maps):
             self._tasks.append(asyncio.create_task(loop()))
 
     async def close(self) -> None:
@@ -300,6 +312,50 @@
         except errors.LycheegaugeError as error:
             loguru.logger.warning("the journal can't be opened yet: {}", error)
 
+    async def _keep_maps(self) -> None:
+        """Has expert maps follow demand while this host leads."""
+        coordination: mapcoordination.MapCoordination | None = None
+        term = 0
+        while True:
+            is_switching = False
+            if self.task.is_leader:
+                if coordination is None or term != self.task.term:
+                    term = self.task.term
+                    _, port = peers.split_address(self.address)
+                    coordination = mapcoordination.MapCoordination(
+                        term, self._pool, port
+                    )
+                is_switching = await self._run_maps(coordination)
+            await asyncio.sleep(
+                mapcoordination.SWITCH_INTERVAL_S
+                if is_switching
+                else mapcoordination.OBSERVE_INTERVAL_S
+            )
+
+    async def _run_maps(self, coordination: mapcoordination.MapCoordination) -> bool:
+        is_switching = False
+        for service in self._list_grouped_services():
+            servers = [
+                server
+                for server in self.get_book().list_servers()
+                if server.service == service.name
+            ]
+            if servers:
+                switching = await coordination.run_round(service, servers)
+                is_switching = is_switching or switching
+        return is_switching
+
+    def _list_grouped_services(self) -> list[routetables.ServiceDeclaration]:
+        """Lists the services whose backend servers run in lock step."""
+        document = self.routing.table
+        if document is None:
+            return []
+        if document is not self._read_document:
+            read = self._dialect.read_table(zlib.decompress(document.body))
+            self._read_document = document
+            self._services = read.unwrap().services
+        return [item for item in self._services if item.experts is not None]
+
     async def _keep_following(self) -> None:
         """Mirrors the leader's book, and looks for a leader while there is none."""
         while True:
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -54,12 +54,35 @@
     open_to_all: bool = False
 
 
+class ExpertLayoutModel(Model):
+    """The experts of a model whose groups run in lock step."""
+
+    layers: int = pydantic.Field(ge=1)
+    experts: int = pydantic.Field(ge=1)
+    slots: int = pydantic.Field(ge=1)
+    copies: int = pydantic.Field(default=1, ge=1)
+
+    def decode(self) -> routetables.ExpertLayout:
+        """Returns the layout in the product's types."""
+        return routetables.ExpertLayout(**self.model_dump())
+
+
 class ServiceModel(Model):
     """One service."""
 
     name: str
     connections_max: int = pydantic.Field(default=256, ge=1)
     cold_rate: float = pydantic.Field(default=0.0, ge=0)
+    experts: ExpertLayoutModel | None = None
+
+    def decode(self) -> routetables.ServiceDeclaration:
+        """Returns the service in the product's types."""
+        return routetables.ServiceDeclaration(
+            self.name,
+            self.connections_max,
+            self.cold_rate,
+            experts=self.experts.decode() if self.experts else None,
+        )
 
 
 class KeyHolderModel(Model):
@@ -170,10 +193,7 @@
             routetables.RouteTable(
                 model.version,
                 tuple(_make_route(route) for route in model.routes),
-                tuple(
-                    routetables.ServiceDeclaration(**service.model_dump())
-                    for service in model.services
-                ),
+                tuple(service.decode() for service in model.services),
                 tuple(
                     routetables.KeyHolder(**holder.model_dump())
                     for holder in model.key_holders
--- a/src/lycheegauge/internal/protocol/routetables.py
+++ b/src/lycheegauge/internal/protocol/routetables.py
@@ -85,6 +85,23 @@
     memory_tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpertLayout:
+    """The experts of a model whose groups run in lock step.
+
+    Attributes:
+        layers: Sets of layers that are placed alike.
+        experts: Experts of each.
+        slots: Experts of a layer that a rank has room for.
+        copies: Experts of a layer that a rank may copy in one change.
+    """
+
+    layers: int
+    experts: int
+    slots: int
+    copies: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceDeclaration:
     """A service as the operator declares it.
@@ -99,6 +116,7 @@
     cold_rate: float
     slots: int = 0
     engine: EngineCosts | None = None
+    experts: ExpertLayout | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/transport/services.py
+++ b/src/lycheegauge/internal/transport/services.py
@@ -165,3 +165,19 @@
     async def Prepare(self, stream: typing.Any) -> None:  # noqa: N802
         """Loads what a map version needs."""
         await peers.answer_unary(stream, self._prepare)
+
+
+class EngineAgentService(services_grpc.EngineAgentBase):
+    """What the agent beside an engine offers to the group's coordinator."""
+
+    def __init__(self, observe: peers.Handler, order: peers.Handler) -> None:
+        self._observe = observe
+        self._order = order
+
+    async def Observe(self, stream: typing.Any) -> None:  # noqa: N802
+        """Reads the engine's state."""
+        await peers.answer_unary(stream, self._observe)
+
+    async def Order(self, stream: typing.Any) -> None:  # noqa: N802
+        """Passes an order on to the engine."""
+        await peers.answer_unary(stream, self._order)
--- a/src/lycheegauge/settings.py
+++ b/src/lycheegauge/settings.py
@@ -182,6 +182,20 @@
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
+class EngineAgentSettings(Model):
+    """Settings of the agent beside a rank's engine.
+
+    It listens on the engine's own host, on the port that all peers use.
+    """
+
+    name: Name
+    peer_address: Address
+    engine_address: Address
+    dialect: str = "native"
+    stop_timeout_s: float = pydantic.Field(default=1.0, gt=0, le=3600)
+    log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
 class SettingsFile(Model):
     """One settings file: exactly one of its parts is present."""
 
@@ -189,6 +203,7 @@
     agent: AgentSettings | None = None
     gateway: GatewaySettings | None = None
     control: ControlSettings | None = None
+    engineagent: EngineAgentSettings | None = None
 
     @pydantic.model_validator(mode="after")
     def _check_one_part(self) -> "SettingsFile":
--- a/tests/steps/codec.py
+++ b/tests/steps/codec.py
@@ -11,7 +11,9 @@
 from lycheegauge.internal.protocol import codec
 
 # The border's documents are JSON and have no generated message.
-BORDER_MODULES = {"operations", "routetables", "controlcalls", "nativedialect"}
+BORDER_MODULES = {"operations", "routetables", "controlcalls", "nativedialect",
+    "enginedialects",
+}  # fmt: skip
 MODULES = [
     importlib.import_module(f"{protocol.__name__}.{item.name}")
     for item in pkgutil.iter_modules(protocol.__path__)
