Copy experts only where it pays; wait for the first table; elect early at the start

Cause 2: after all hosts were killed, callers had spent their one retry on closed ports and met a refusal while the first table was on its way. Ruled out: imports (0.4 s of the 1.0 s until a process serves).

--- a/src/lycheegauge/internal/coordination/agreement/election.py
+++ b/src/lycheegauge/internal/coordination/agreement/election.py
@@ -21,7 +21,12 @@
         self._asked_term = 0
         self._deadline = now
         self.is_standing = False
-        self.defer(now)
+        # A leader that lives is heard within a heartbeat, so a replica that has
+        # just started may stand early; pre-votes protect that leader.
+        limits = core.timing
+        self._deadline = now + core.random.uniform(
+            limits.first_election_min_s, limits.first_election_max_s
+        )
         if not core.may_stand:
             self._deadline = now
 
--- a/src/lycheegauge/internal/coordination/agreement/timing.py
+++ b/src/lycheegauge/internal/coordination/agreement/timing.py
@@ -20,6 +20,9 @@
             down, and a replica that heard a leader within it gives no vote.
         election_max_s: A follower waits between ``election_min_s`` and this
             before it stands for election.
+        first_election_min_s: The same two bounds for a replica that has just
+            started.
+        first_election_max_s: See ``first_election_min_s``.
         read_interval_s: Reads share heartbeat rounds at least so far apart.
         commit_notice_s: A new commit index waits so long for entries to travel
             with before it is sent alone.
@@ -29,6 +32,8 @@
     heartbeat_s: float = HEARTBEAT_S
     election_min_s: float = ELECTION_MIN_S
     election_max_s: float = ELECTION_MAX_S
+    first_election_min_s: float = ELECTION_MIN_S
+    first_election_max_s: float = ELECTION_MAX_S
     read_interval_s: float = READ_INTERVAL_S
     commit_notice_s: float = COMMIT_NOTICE_S
     replace_after_s: float = REPLACE_AFTER_S
--- a/src/lycheegauge/internal/coordination/groups/demand.py
+++ b/src/lycheegauge/internal/coordination/groups/demand.py
@@ -5,7 +5,7 @@
 
 from lycheegauge.internal.protocol import maporders
 
-HALF_LIFE_S = 1.0
+HALF_LIFE_S = 1.5
 """Demand counts half after so long: short against the seconds between shifts,
 long against the interval of the counts."""
 
--- a/src/lycheegauge/internal/coordination/groups/evenshares.py
+++ b/src/lycheegauge/internal/coordination/groups/evenshares.py
@@ -26,10 +26,13 @@
     Attributes:
         slots: Experts of a layer that a rank has room for.
         copies: Experts of a layer that a rank may copy in one change.
+        gain_per_copy: The fraction by which the slowest rank must get faster
+            for each expert that is copied.
     """
 
     slots: int
     copies: int
+    gain_per_copy: float = 0.0
 
 
 Placement: typing.TypeAlias = tuple[tuple[int, ...], ...]
@@ -67,9 +70,19 @@
         bounds: What the change may use.
     """
     search = _Search(placement, loads, paces, bounds)
+    start = search.slowest
+    best, most = placement, 0.0
     while search.improve():
-        pass
-    return search.get_placement()
+        gain = (start - search.slowest) / start
+        net = gain - bounds.gain_per_copy * search.count_copied()
+        if net > most:
+            best, most = search.get_placement(), net
+    return best
+
+
+def count_copies(before: Placement, after: Placement) -> int:
+    """Counts the experts that ranks must copy for a change."""
+    return sum(len(set(new) - set(old)) for old, new in zip(before, after, strict=True))
 
 
 class _Search:
@@ -93,6 +106,18 @@
                 self._holders[expert] += 1
         self._times = [self._measure(rank) for rank in range(len(placement))]
 
+    @property
+    def slowest(self) -> float:
+        """The slowest rank's time."""
+        return max(self._times)
+
+    def count_copied(self) -> int:
+        """Counts the experts that the present state would copy."""
+        return sum(
+            len(held - before)
+            for held, before in zip(self._held, self._before, strict=True)
+        )
+
     def get_placement(self) -> Placement:
         """Returns the placement reached, each rank's experts in order."""
         return tuple(tuple(sorted(experts)) for experts in self._held)
--- a/src/lycheegauge/internal/daemons/engineagent.py
+++ b/src/lycheegauge/internal/daemons/engineagent.py
@@ -66,7 +66,10 @@
         counts = b""
         if question.counts:
             _, counts = await self._call(self._dialect.ask_counts())
-        read = self._dialect.read_report(report, counts)
+        experts = b""
+        if question.experts:
+            _, experts = await self._call(self._dialect.ask_experts())
+        read = self._dialect.read_report(report, counts, experts)
         if isinstance(read, result.Failure):
             raise read.failure()
         return read.unwrap()
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -59,6 +59,7 @@
 
     async def run(self) -> None:
         """Forwards the request until it is answered or given up."""
+        await self._shared.wait_for_start(self._read_time_left() / 4)
         refusal = self._admit()
         if refusal is not None:
             self._answer_refusal(refusal)
@@ -106,12 +107,14 @@
         return None
 
     def _set_deadline(self, route: routetables.Route) -> None:
-        left_s = route.timeout_s
-        told = self._exchange.headers.get(self._names.time_left_ms, "")
-        if told.isascii() and told.isdigit():
-            left_s = min(left_s, int(told) / 1000)
+        left_s = min(route.timeout_s, self._read_time_left())
         self._deadline = self._exchange.arrived_at + left_s
 
+    def _read_time_left(self) -> float:
+        """Returns how long the caller waits, in seconds; infinite if untold."""
+        told = self._exchange.headers.get(self._names.time_left_ms, "")
+        return int(told) / 1000 if told.isascii() and told.isdigit() else math.inf
+
     @property
     def _remaining_s(self) -> float:
         return self._deadline - clock.read_clock()
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -41,6 +41,13 @@
 
 DEFAULT_RETRY_AFTER_S = 0.5
 
+START_WAIT_MAX_S = 2.0
+"""A host that started with all others knows the route table after an election
+and a pull, which take about a second."""
+
+START_WAITERS_MAX = 256
+"""Requests that may wait for the start; each holds its body in memory."""
+
 
 class Forwarder:
     """Owns the connections to backend servers and the requests under way.
@@ -70,6 +77,8 @@
         self.ramp = coldramp.ColdRamp()
         self.quarantine = crashes.QuarantineView()
         self.stopping = False
+        self.started = asyncio.Event()
+        self._waiting_for_start = 0
         self.running: set[asyncio.Task[None]] = set()
         self._budgets: dict[str, repeatbudget.RepeatBudget] = {}
 
@@ -87,6 +96,23 @@
         if not task.cancelled() and task.exception() is not None:
             loguru.logger.opt(exception=task.exception()).error("request failed")
 
+    async def wait_for_start(self, longest_s: float) -> None:
+        """Waits until this host first knows the route table, or not at all.
+
+        Right after all hosts were lost a caller has often spent its retries on
+        closed ports, so a refusal would be its end.
+        """
+        if self.started.is_set() or self._waiting_for_start >= START_WAITERS_MAX:
+            return
+        self._waiting_for_start += 1
+        try:
+            async with asyncio.timeout(min(longest_s, START_WAIT_MAX_S)):
+                await self.started.wait()
+        except TimeoutError:
+            loguru.logger.warning("no route table yet", waiting=self._waiting_for_start)
+        finally:
+            self._waiting_for_start -= 1
+
     # What this host believes.
 
     def take_changes(self, changed: tuple[str, ...]) -> None:
@@ -112,6 +138,7 @@
             )
             return
         self.index = routeindex.RouteIndex(read.unwrap())
+        self.started.set()
         loguru.logger.info("route table in force", version=document.version)
 
     @property
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -41,6 +41,8 @@
     heartbeat_s=0.2,
     election_min_s=0.8,
     election_max_s=1.6,
+    first_election_min_s=0.25,
+    first_election_max_s=0.6,
     read_interval_s=0.05,
     replace_after_s=2.5,
 )
@@ -70,7 +72,7 @@
         self.part = part
         self._dialect = dialect
         self._read_document: roster.RouteDocument | None = None
-        self._services: tuple[routetables.ServiceDeclaration, ...] = ()
+        self._table = routetables.RouteTable(0, (), ())
         self.address = part.peer_address
         self._pool = pool
         self.machine = machine.Machine()
@@ -317,7 +319,7 @@
         coordination: mapcoordination.MapCoordination | None = None
         term = 0
         while True:
-            is_switching = False
+            wait_s = mapcoordination.OBSERVE_INTERVAL_S
             if self.task.is_leader:
                 if coordination is None or term != self.task.term:
                     term = self.task.term
@@ -325,15 +327,12 @@
                     coordination = mapcoordination.MapCoordination(
                         term, self._pool, port
                     )
-                is_switching = await self._run_maps(coordination)
-            await asyncio.sleep(
-                mapcoordination.SWITCH_INTERVAL_S
-                if is_switching
-                else mapcoordination.OBSERVE_INTERVAL_S
-            )
+                wait_s = await self._run_maps(coordination)
+            await asyncio.sleep(wait_s)
 
-    async def _run_maps(self, coordination: mapcoordination.MapCoordination) -> bool:
-        is_switching = False
+    async def _run_maps(self, coordination: mapcoordination.MapCoordination) -> float:
+        """Looks at all groups once; returns when to look again, in seconds."""
+        wait_s = mapcoordination.OBSERVE_INTERVAL_S
         for service in self._list_grouped_services():
             servers = [
                 server
@@ -341,9 +340,17 @@
                 if server.service == service.name
             ]
             if servers:
-                switching = await coordination.run_round(service, servers)
-                is_switching = is_switching or switching
-        return is_switching
+                gap_s = min(
+                    (
+                        route.target_gap_s
+                        for route in self._table.routes
+                        if any(part.service == service.name for part in route.services)
+                    ),
+                    default=1.0,
+                )
+                asked = await coordination.run_round(service, servers, gap_s)
+                wait_s = min(wait_s, asked)
+        return wait_s
 
     def _list_grouped_services(self) -> list[routetables.ServiceDeclaration]:
         """Lists the services whose backend servers run in lock step."""
@@ -353,8 +360,8 @@
         if document is not self._read_document:
             read = self._dialect.read_table(zlib.decompress(document.body))
             self._read_document = document
-            self._services = read.unwrap().services
-        return [item for item in self._services if item.experts is not None]
+            self._table = read.unwrap()
+        return [item for item in self._table.services if item.experts is not None]
 
     async def _keep_following(self) -> None:
         """Mirrors the leader's book, and looks for a leader while there is none."""
--- a/src/lycheegauge/internal/protocol/enginedialects.py
+++ b/src/lycheegauge/internal/protocol/enginedialects.py
@@ -30,13 +30,16 @@
     def ask_counts(self) -> EngineCall:
         """Asks how often each expert was chosen."""
 
+    def ask_experts(self) -> EngineCall:
+        """Asks which experts the rank holds."""
+
     def write_order(self, order: maporders.MapOrder) -> EngineCall:
         """Writes an order."""
 
     def read_report(
-        self, report: bytes, counts: bytes
+        self, report: bytes, counts: bytes, experts: bytes
     ) -> result.Result[maporders.EngineReport, errors.BorderError]:
-        """Reads the state, and the counts unless they are empty."""
+        """Reads the state, and the rest unless it is empty."""
 
 
 _dialects: dict[str, EngineDialect] = {}
@@ -67,6 +70,10 @@
     return _dialects[name]
 
 
+_COUNTS = pydantic.TypeAdapter(tuple[int, ...])
+_EXPERTS = pydantic.TypeAdapter(tuple[tuple[int, ...], ...])
+
+
 class ReportModel(nativedialect.Model):
     """An engine's state in the product's own words."""
 
@@ -98,6 +105,10 @@
         """Asks how often each expert was chosen."""
         return EngineCall("/v1/rank/counts")
 
+    def ask_experts(self) -> EngineCall:
+        """Asks which experts the rank holds."""
+        return EngineCall("/v1/rank/experts")
+
     def write_order(self, order: maporders.MapOrder) -> EngineCall:
         """Writes an order."""
         document = {
@@ -113,16 +124,19 @@
         return EngineCall("/v1/rank/orders", json.dumps(document).encode())
 
     def read_report(
-        self, report: bytes, counts: bytes
+        self, report: bytes, counts: bytes, experts: bytes
     ) -> result.Result[maporders.EngineReport, errors.BorderError]:
-        """Reads the state and the counts."""
+        """Reads the state and the rest."""
         try:
             model = ReportModel.model_validate_json(report)
-            chosen = pydantic.TypeAdapter(tuple[int, ...]).validate_json(
-                counts or b"[]"
-            )
+            chosen = _COUNTS.validate_json(counts or b"[]")
+            held = _EXPERTS.validate_json(experts or b"[]")
         except pydantic.ValidationError as error:
             return nativedialect.describe(error, "read engine report")
         return result.Success(
-            maporders.EngineReport(**model.model_dump(), counts=chosen)
+            maporders.EngineReport(
+                **model.model_dump(),
+                counts=chosen,
+                experts=tuple(maporders.RankExperts(layer) for layer in held),
+            )
         )
--- a/src/lycheegauge/internal/protocol/maporders.py
+++ b/src/lycheegauge/internal/protocol/maporders.py
@@ -10,9 +10,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineQuestion:
-    """Asks for the state of the engine; with ``counts``, for its choices too."""
+    """Asks for the state of the engine, and for what is named besides.
+
+    Attributes:
+        counts: Whether to tell how often each expert was chosen.
+        experts: Whether to tell which experts the rank holds.
+    """
 
     counts: bool
+    experts: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankExperts:
+    """The experts of one layer that one rank holds."""
+
+    experts: tuple[int, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +43,7 @@
         step: The last pass that began.
         counts: How often each expert was chosen since the engine started, one
             layer's experts after the other's.
+        experts: The experts that this rank holds, by layer.
     """
 
     server: str
@@ -47,6 +61,7 @@
     armed_step: int
     held_step: int
     counts: tuple[int, ...] = ()
+    experts: tuple[RankExperts, ...] = ()
 
 
 class MapOrderKind(enum.StrEnum):
@@ -59,13 +74,6 @@
     GO = "go"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RankExperts:
-    """The experts of one layer that one rank holds."""
-
-    experts: tuple[int, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class LayerPlacement:
     """The experts of one layer, by rank."""
