--- a/src/lycheegauge/command.py
+++ b/src/lycheegauge/command.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import importlib
 import os
 import pathlib
 import sys
@@ -32,6 +33,11 @@
     "Exit codes: 0 done, 1 refused or in conflict, 2 wrong usage or settings, "
     "3 the system can't be reached or can't answer now."
 )
+FORWARDING_ROLES = {
+    "gateway": "an entry host that forwards requests as they are",
+    "control": "a log host of a forwarding deployment",
+    "engineagent": "the agent beside an engine of a lock-step group",
+}
 SETTINGS_HELP = "settings file, JSON with comments; see 'check-settings'"
 
 
@@ -94,6 +100,12 @@
         "--settings", type=pathlib.Path, required=True, help=SETTINGS_HELP
     )
     agent.set_defaults(run=run_agent)
+    for role, purpose in FORWARDING_ROLES.items():
+        daemon = commands.add_parser(role, help=f"run {purpose}")
+        daemon.add_argument(
+            "--settings", type=pathlib.Path, required=True, help=SETTINGS_HELP
+        )
+        daemon.set_defaults(run=run_forwarding_role, role=role)
     local = commands.add_parser(
         "local", help="run a whole small system in one process and try it"
     )
@@ -191,6 +203,18 @@
     return asyncio.run(processes.run_agent(part))
 
 
+def run_forwarding_role(options: argparse.Namespace) -> int:
+    """Runs a role of a forwarding deployment until it is told to stop."""
+    part = getattr(settings.read_settings(options.settings), options.role)
+    if part is None:
+        message = f"{options.settings}: has no key '{options.role}'"
+        raise errors.SettingsError(message)
+    # Only the role's own module is loaded: a host may have little memory.
+    daemon = importlib.import_module(f"lycheegauge.internal.daemons.{options.role}")
+    code: int = asyncio.run(getattr(daemon, f"run_{options.role}")(part))
+    return code
+
+
 def run_local(options: argparse.Namespace) -> int:
     """Runs a whole small system in one process."""
     from lycheegauge.internal.daemons import local
--- a/src/lycheegauge/internal/coordination/forwardrules.py
+++ b/src/lycheegauge/internal/coordination/forwardrules.py
@@ -75,12 +75,3 @@
         return GivenUp(reason, status, -1.0, detail)
     status = _STATUS.get(reason, _NOT_RUN_STATUS)
     return GivenUp(reason, status, retry_after_s, detail)
-
-
-def read_load(told: str) -> tuple[int, int] | None:
-    """Reads running and waiting requests from a server's load header."""
-    parts = told.split(",")
-    try:
-        return int(parts[0]), int(parts[1])
-    except (IndexError, ValueError):
-        return None
--- a/src/lycheegauge/internal/coordination/groups/evenshares.py
+++ b/src/lycheegauge/internal/coordination/groups/evenshares.py
@@ -123,13 +123,17 @@
         return tuple(tuple(sorted(experts)) for experts in self._held)
 
     def improve(self) -> bool:
-        """Takes the best step that makes the slowest rank faster."""
+        """Takes the best step that makes the slowest rank faster.
+
+        Another rank may be as slow; it comes next. So the slowest time may stay
+        for a few steps.
+        """
         slowest = max(range(len(self._times)), key=self._times.__getitem__)
         limit = self._times[slowest] * (1.0 - SMALLEST_GAIN)
         best: list[tuple[int, int, int]] | None = None
         reached = limit
         for step in self._list_steps(slowest):
-            worst = self._try(step, limit)
+            worst = self._try(step)
             if worst < reached:
                 best, reached = step, worst
         if best is None:
@@ -184,21 +188,17 @@
         copied = len(self._held[rank] - self._before[rank])
         return copied < self._bounds.copies
 
-    def _try(self, step: list[tuple[int, int, int]], limit: float) -> float:
+    def _try(self, step: list[tuple[int, int, int]]) -> float:
         """Returns the slowest time among the ranks that a step changes."""
         touched = set()
         for rank, added, dropped in step:
             touched |= {rank} | self._find_holders(added) | self._find_holders(dropped)
         for change in step:
             self._apply(change)
-        # A rank that was at the limit before and is not touched stays there.
         worst = max(self._measure(rank) for rank in touched)
-        untouched = [
-            time for rank, time in enumerate(self._times) if rank not in touched
-        ]
         for rank, added, dropped in reversed(step):
             self._apply((rank, dropped, added))
-        return max(worst, *untouched) if untouched else worst
+        return worst
 
     def _find_holders(self, expert: int) -> set[int]:
         if expert < 0:
--- a/src/lycheegauge/internal/coordination/rosterbook.py
+++ b/src/lycheegauge/internal/coordination/rosterbook.py
@@ -5,6 +5,7 @@
 starts with it rather than with nothing.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import typing
@@ -67,6 +68,7 @@
         self._servers: dict[str, _Entry[roster.ServerListing]] = {}
         self._hosts: dict[str, _Entry[roster.HostListing]] = {}
         self._removals: list[tuple[int, str, bool]] = []
+        self._open: dict[str, tuple[roster.OpenRequests, ...]] = {}
 
     def take_announcement(self, listing: roster.ServerListing, now: float) -> bool:
         """Takes a backend server's announcement.
@@ -112,6 +114,21 @@
         self._cursor += 1
         self._hosts[listing.name] = _Entry(listing, now, self._cursor)
 
+    def note_open(
+        self, host: str, open_requests: tuple[roster.OpenRequests, ...]
+    ) -> None:
+        """Notes the requests that a host has open."""
+        self._open[host] = open_requests
+
+    def list_open_elsewhere(self, host: str) -> tuple[roster.OpenRequests, ...]:
+        """Adds up the requests that all hosts but one have open."""
+        totals: collections.Counter[str] = collections.Counter()
+        for name, listed in self._open.items():
+            if name != host:
+                for item in listed:
+                    totals[item.server] += item.count
+        return tuple(roster.OpenRequests(*item) for item in sorted(totals.items()))
+
     def expire(self, now: float) -> tuple[str, ...]:
         """Removes entries without a sign of life and returns their names."""
         servers = _list_silent(self._servers, now - self._lifetimes.server_s)
@@ -120,6 +137,7 @@
             self._remove_server(name)
         for name in hosts:
             del self._hosts[name]
+            self._open.pop(name, None)
             self._note_removal(name, is_host=True)
         return (*servers, *hosts)
 
--- a/src/lycheegauge/internal/coordination/rosterview.py
+++ b/src/lycheegauge/internal/coordination/rosterview.py
@@ -43,7 +43,12 @@
         self._cold_until: dict[str, float] = {}
         self._doubtful_until: dict[str, float] = {}
 
-    def begin_pull(self, host: roster.HostListing | None, now: float) -> OpenPull:
+    def begin_pull(
+        self,
+        host: roster.HostListing | None,
+        now: float,
+        open_requests: tuple[roster.OpenRequests, ...] = (),
+    ) -> OpenPull:
         """Makes the next pull; send it after this call."""
         message = roster.RosterPull(
             host,
@@ -52,6 +57,7 @@
             self.quarantine_version,
             self._source,
             self._cursor,
+            open_requests,
         )
         return OpenPull(self.lease.begin_question(now), message)
 
--- a/src/lycheegauge/internal/coordination/serverchoice.py
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -1,9 +1,9 @@
 """Chooses the backend server that a request is sent to.
 
-A host knows its own open requests exactly, and what others have open only from
-the load that servers tell in their answers, which grows old. The least
-estimated share of busy slots wins; equal ones are drawn, so that hosts with the
-same old news don't all choose the same server.
+A host knows its own open requests exactly, and those of the other hosts as of
+its last pull. Of a few servers drawn at random the one with the least estimated
+share of busy slots is chosen (the power of d choices, Mitzenmacher 2001), so that
+hosts with the same old news don't all choose the same server.
 """
 
 import dataclasses
@@ -13,15 +13,17 @@
 
 from lycheegauge.internal.protocol import roster
 
-REPORT_HALF_LIFE_S = 1.0
-"""A told load counts half after so long; an answer takes about as long."""
+NEWS_HALF_LIFE_S = 2.0
+"""Old news of others count half after so long, which is about an answer's time;
+they are refreshed several times within it while the log has a leader."""
 
 FIRST_BACKOFF_S = 0.5
 LONGEST_BACKOFF_S = 4.0
 """A server that fails is left out so long, doubling with each failure in a row."""
 
-TIE_WIDTH = 0.02
-"""Estimates this close are equal; a told load is no finer than a slot."""
+SERVERS_DRAWN = 3
+"""With news some tenths of a second old, two look too narrowly and more than four
+crowd together; see the flash crowd in the tests."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,7 +32,7 @@
 
     Attributes:
         own: This host's open requests there.
-        others: Requests of others there, when the server last told its load.
+        others: Requests of other hosts there, as of the last news.
         told_at: When that was, in seconds.
         failures: Failures in a row.
         out_until: The server is left out until then.
@@ -47,7 +49,7 @@
     """Tracks the servers of all services and chooses among them.
 
     Args:
-        chance: Breaks ties.
+        chance: Draws the servers that are compared.
     """
 
     def __init__(self, chance: random.Random) -> None:
@@ -72,18 +74,14 @@
         candidates = sound or usable
         if not candidates:
             return None
-        scores = [self.estimate(server, slots, now) for server in candidates]
-        bound = min(scores) + TIE_WIDTH
-        best = [
-            s for s, score in zip(candidates, scores, strict=True) if score <= bound
-        ]
-        return self._chance.choice(best)
+        drawn = self._chance.sample(candidates, min(SERVERS_DRAWN, len(candidates)))
+        return min(drawn, key=lambda server: self.estimate(server, slots, now))
 
     def estimate(self, server: roster.ServerListing, slots: int, now: float) -> float:
         """Estimates the share of a server's slots that is busy; over 1 is a queue."""
         known = self._get(server.name)
         age_s = now - known.told_at
-        others = known.others * math.pow(0.5, age_s / REPORT_HALF_LIFE_S)
+        others = known.others * math.pow(0.5, age_s / NEWS_HALF_LIFE_S)
         return (known.own + others) / max(1, server.slots or slots)
 
     def note_sent(self, server: str) -> None:
@@ -95,11 +93,23 @@
         known = self._get(server)
         known.own = max(0, known.own - 1)
 
-    def note_load(self, server: str, running: int, waiting: int, now: float) -> None:
-        """Takes the load that a server told in an answer, this host's included."""
-        known = self._get(server)
-        known.others = max(0.0, running + waiting - known.own)
-        known.told_at = now
+    def note_others(
+        self, open_elsewhere: typing.Iterable[roster.OpenRequests], now: float
+    ) -> None:
+        """Takes the requests that all other hosts have open."""
+        counts = {item.server: item.count for item in open_elsewhere}
+        for name in self._known.keys() | counts.keys():
+            known = self._get(name)
+            known.others = counts.get(name, 0)
+            known.told_at = now
+
+    def list_own(self) -> tuple[roster.OpenRequests, ...]:
+        """Lists this host's open requests."""
+        return tuple(
+            roster.OpenRequests(name, known.own)
+            for name, known in self._known.items()
+            if known.own
+        )
 
     def note_success(self, server: str) -> None:
         """Notes an answer, which ends a row of failures."""
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -32,6 +32,20 @@
 nothing; each still spends the budget of repeats."""
 
 CONNECT_TRIES_MAX = 3
+START_WAIT_MAX_S = 2.5
+"""A host that started with all others knows the table after an election and a
+pull, and the servers after one interval of their announcements, in seconds."""
+
+START_WAIT_SHARE = 4
+"""A caller waits for a starting host at most this part of its time."""
+
+MISSING_NEWS = (
+    work.RefusalReason.NO_ROUTE_TABLE,
+    work.RefusalReason.LEASE_EXPIRED,
+    work.RefusalReason.NO_BACKEND_SERVER,
+)
+"""Reasons that the next pull may remove."""
+
 PRIORITY_MAX = 9
 """The least urgent rank at a backend server."""
 
@@ -59,8 +73,7 @@
 
     async def run(self) -> None:
         """Forwards the request until it is answered or given up."""
-        await self._shared.wait_for_start(self._read_time_left() / 4)
-        refusal = self._admit()
+        refusal = await self._admit_or_wait()
         if refusal is not None:
             self._answer_refusal(refusal)
             return
@@ -74,6 +87,17 @@
 
     # Admission.
 
+    async def _admit_or_wait(self) -> forwardrules.GivenUp | None:
+        """Admits the request; a host that has just started waits for its news."""
+        share_s = self._read_time_left() / START_WAIT_SHARE
+        until = self._exchange.arrived_at + min(share_s, START_WAIT_MAX_S)
+        while True:
+            refusal = self._admit()
+            if refusal is None or refusal.reason not in MISSING_NEWS:
+                return refusal
+            if not await self._shared.wait_for_news(until - clock.read_clock()):
+                return refusal
+
     def _admit(self) -> forwardrules.GivenUp | None:
         shared = self._shared
         if shared.index is None:
@@ -90,6 +114,8 @@
             return refusal
         self._service = routeindex.choose_service(self._route, shared.chance)
         self._set_deadline(self._route)
+        if not shared.has_server(self._service):
+            return shared.refuse(work.RefusalReason.NO_BACKEND_SERVER)
         shared.get_budget(self._service).note_request(clock.read_clock())
         return None
 
@@ -226,15 +252,12 @@
     def _note_answer(
         self, server: roster.ServerListing, head: upstream.AnswerHead
     ) -> None:
-        """Checks that the answer is this request's, and takes what it tells."""
+        """Checks that the answer is this request's."""
         told_id = head.get(self._names.request_id)
         if told_id and self._id and told_id != self._id:
             message = f"the answer is for another request, {told_id}"
             raise errors.BackendServerFailedError(message, "read answer")
-        load = forwardrules.read_load(head.get(self._names.load))
-        now = clock.read_clock()
-        if load is not None:
-            self._shared.choice.note_load(server.name, *load, now)
+        self._shared.choice.note_success(server.name)
 
     def _judge(self, head: upstream.AnswerHead) -> forwardrules.Verdict:
         assert self._route is not None
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -1,6 +1,7 @@
 """What all forwarded requests of one entry host share."""
 
 import asyncio
+import math
 import random
 import zlib
 
@@ -41,9 +42,8 @@
 
 DEFAULT_RETRY_AFTER_S = 0.5
 
-START_WAIT_MAX_S = 2.0
-"""A host that started with all others knows the route table after an election
-and a pull, which take about a second."""
+SETTLING_TIME_S = 2.5
+"""So long after the first table a host may still lack servers, in seconds."""
 
 START_WAITERS_MAX = 256
 """Requests that may wait for the start; each holds its body in memory."""
@@ -77,8 +77,9 @@
         self.ramp = coldramp.ColdRamp()
         self.quarantine = crashes.QuarantineView()
         self.stopping = False
-        self.started = asyncio.Event()
-        self._waiting_for_start = 0
+        self._is_changed = asyncio.Event()
+        self._waiting_for_news = 0
+        self._settled_at = math.inf
         self.running: set[asyncio.Task[None]] = set()
         self._budgets: dict[str, repeatbudget.RepeatBudget] = {}
 
@@ -96,27 +97,36 @@
         if not task.cancelled() and task.exception() is not None:
             loguru.logger.opt(exception=task.exception()).error("request failed")
 
-    async def wait_for_start(self, longest_s: float) -> None:
-        """Waits until this host first knows the route table, or not at all.
+    async def wait_for_news(self, longest_s: float) -> bool:
+        """Waits for the next news, while this host has only just started.
 
         Right after all hosts were lost a caller has often spent its retries on
-        closed ports, so a refusal would be its end.
+        closed ports, so a refusal would be its end, and what is missing comes
+        with the next pulls.
+
+        Returns:
+            Whether news came. ``False`` at once when none are due.
         """
-        if self.started.is_set() or self._waiting_for_start >= START_WAITERS_MAX:
-            return
-        self._waiting_for_start += 1
+        is_settled = clock.read_clock() >= self._settled_at
+        if is_settled or self._waiting_for_news >= START_WAITERS_MAX:
+            return False
+        self._waiting_for_news += 1
         try:
-            async with asyncio.timeout(min(longest_s, START_WAIT_MAX_S)):
-                await self.started.wait()
+            async with asyncio.timeout(max(0.0, longest_s)):
+                await self._is_changed.wait()
         except TimeoutError:
-            loguru.logger.warning("no route table yet", waiting=self._waiting_for_start)
+            return False
         finally:
-            self._waiting_for_start -= 1
+            self._waiting_for_news -= 1
+        return True
 
     # What this host believes.
 
     def take_changes(self, changed: tuple[str, ...]) -> None:
         """Takes what a pull brought."""
+        if changed:
+            self._is_changed.set()
+            self._is_changed = asyncio.Event()
         if "table" in changed and self.view.table is not None:
             self._take_table(self.view.table)
         if "roster" in changed:
@@ -138,7 +148,7 @@
             )
             return
         self.index = routeindex.RouteIndex(read.unwrap())
-        self.started.set()
+        self._settled_at = min(self._settled_at, clock.read_clock() + SETTLING_TIME_S)
         loguru.logger.info("route table in force", version=document.version)
 
     @property
@@ -155,6 +165,11 @@
             )
         return self._budgets[service]
 
+    def has_server(self, service: str) -> bool:
+        """Tells whether any server of a service may get work."""
+        usable = self.view.list_usable(clock.read_clock())
+        return any(server.service == service for server in usable)
+
     def choose_server(
         self, service: str, tried: set[str]
     ) -> roster.ServerListing | forwardrules.GivenUp:
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -116,7 +116,9 @@
 
     async def _pull_once(self) -> bool:
         """Asks for news once; returns whether a leader answered."""
-        pull = self.view.begin_pull(self.describe_self(), clock.read_clock())
+        pull = self.view.begin_pull(
+            self.describe_self(), clock.read_clock(), self.forwarder.choice.list_own()
+        )
         asked = self._client.address
         try:
             reply = await self._client.pull(pull.message)
@@ -125,6 +127,8 @@
             return False
         changed = self.view.take_reply(pull, reply, clock.read_clock())
         self.forwarder.take_changes(changed)
+        if reply.proof is not None:
+            self.forwarder.choice.note_others(reply.open_elsewhere, clock.read_clock())
         if reply.quarantine is not None:
             self.view.quarantine_version = reply.quarantine.version
             self.forwarder.quarantine.take(reply.quarantine)
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -199,6 +199,7 @@
         now = clock.read_clock()
         if question.host is not None:
             self.get_book().take_host(question.host, now)
+            self.get_book().note_open(question.host.name, question.open_requests)
         await self._confirm_leadership(now)
         proof = self._make_proof()
         if proof is None or not self.task.is_leader:
@@ -222,6 +223,9 @@
         quarantined: freshness.Quarantine | None = self.quarantine
         if self.quarantine.version <= question.quarantine_version:
             quarantined = None
+        elsewhere: tuple[roster.OpenRequests, ...] = ()
+        if question.host is not None:
+            elsewhere = self._book.list_open_elsewhere(question.host.name)
         return roster.RosterReply(
             proof,
             *hints,
@@ -235,6 +239,7 @@
             news.servers_gone,
             news.hosts,
             news.hosts_gone,
+            elsewhere,
         )
 
     def _make_proof(self) -> freshness.Proof | None:
--- a/src/lycheegauge/internal/protocol/controlcalls.py
+++ b/src/lycheegauge/internal/protocol/controlcalls.py
@@ -69,7 +69,6 @@
         expected_server: The only backend server that may run the request.
         priority: The rank at the backend server, 0 to 9, 0 first.
         not_run: Set on an answer that says that the request was not run.
-        load: Running requests, waiting requests and slots.
         resume_after: The id of the last event that the caller has.
         sizes: Prompt tokens and the most answer tokens, comma-separated.
     """
@@ -80,7 +79,6 @@
     expected_server: str
     priority: str
     not_run: str
-    load: str
     resume_after: str
     sizes: str
 
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -17,7 +17,6 @@
     expected_server="Lycheegauge-Expected-Server",
     priority="Lycheegauge-Priority",
     not_run="Lycheegauge-Not-Run",
-    load="Lycheegauge-Load",
     resume_after="Last-Event-Id",
     sizes="Lycheegauge-Tokens",
 )
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -76,9 +76,20 @@
     departures: tuple[Departure, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenRequests:
+    """How many requests are open at a backend server."""
+
+    server: str
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RosterPull:
-    """A host's question for all that is new; ``host`` is empty for log hosts."""
+    """A host's question for all that is new; ``host`` is empty for log hosts.
+
+    ``open_requests`` are the asker's own.
+    """
 
     host: HostListing | None
     table_version: int
@@ -86,11 +97,15 @@
     quarantine_version: int
     source: str
     cursor: int
+    open_requests: tuple[OpenRequests, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RosterReply:
-    """What the asker has not seen; without ``proof`` only the hints count."""
+    """What the asker has not seen; without ``proof`` only the hints count.
+
+    ``open_elsewhere`` are the requests of all other hosts.
+    """
 
     proof: freshness.Proof | None
     leader_address: str
@@ -105,6 +120,7 @@
     servers_gone: tuple[str, ...] = ()
     hosts: tuple[HostListing, ...] = ()
     hosts_gone: tuple[str, ...] = ()
+    open_elsewhere: tuple[OpenRequests, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/steps/forwarding.py
@@ -0,0 +1,328 @@
+import collections
+import random
+import sys
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from lycheegauge.internal.coordination import (
+    coldramp,
+    eventstream,
+    forwardrules,
+    headers,
+    repeatbudget,
+    routeindex,
+    serverchoice,
+)
+from lycheegauge.internal.coordination.groups import demand, evenshares
+from lycheegauge.internal.protocol import (
+    maporders,
+    nativedialect,
+    roster,
+    routetables,
+    work,
+)
+
+HOSTS = 9
+Repetition = routetables.Repetition
+
+
+def make_route(prefix, host="shop.example"):
+    return routetables.Route(
+        prefix, host, prefix, (routetables.WeightedService("s", 1.0),),
+        Repetition.SAFE, 1.0, 1.0, 1.0, 0, 2, False,
+    )  # fmt: skip
+
+
+@behave.then("the route of a target is the one with the longest matching prefix")
+def check_routes(context):
+    part = strategies.sampled_from(["a", "b", "ab"])
+    prefix = strategies.lists(part, max_size=3).map(
+        lambda parts: "/" + "".join(f"{item}/" for item in parts)
+    )
+    target = strategies.lists(part, max_size=4).map(lambda parts: "/" + "/".join(parts))
+
+    @hypothesis.given(strategies.sets(prefix, max_size=6), target)
+    def check(prefixes, path):
+        table = routetables.RouteTable(1, tuple(map(make_route, prefixes)), ())
+        index = routeindex.RouteIndex(table)
+        matching = [item for item in prefixes if path.startswith(item)]
+        expected = max(matching, key=len, default=None)
+        found = index.find_route("Shop.example:80", path + "?x=/y/")
+        assert (found.path_prefix if found else None) == expected
+        assert index.find_route("other.example", path) is None
+
+    check()
+
+
+@behave.then("a refusal after a send never promises that nothing was run")
+def check_promise(context):
+    for reason in work.RefusalReason:
+        for state in work.RunState:
+            given_up = forwardrules.give_up(reason, state, 1.0)
+            promises = given_up.status in (408, 421, 429, 503)
+            assert not promises or state is work.RunState.NOT_RUN
+            assert given_up.retry_after_s < 0 or state is work.RunState.NOT_RUN
+
+
+@behave.then("only idempotent requests are repeated after they ran")
+def check_verdicts(context):
+    for repetition in Repetition:
+        for status in (200, 404, 421, 429, 500, 502, 503, 504):
+            for says_not_run in (False, True):
+                verdict = forwardrules.judge_answer(status, says_not_run, repetition)
+                if verdict is forwardrules.Verdict.REPEAT:
+                    assert repetition.is_idempotent and status >= 500
+                if verdict is forwardrules.Verdict.NOT_RUN:
+                    assert says_not_run or status == 421
+
+
+@behave.then("no window holds more repeats than the budget of all hosts (retry storm)")
+def check_budget(context):
+    ratio, slack, window = 0.2, 94.0, 10.0
+    source = random.Random(3)
+    budgets = [repeatbudget.RepeatBudget(ratio, slack, window) for _ in range(HOSTS)]
+    requests, repeats, now = [], [], 0.0
+    while now < 60.0:
+        now += source.expovariate(80.0)
+        host = source.randrange(HOSTS)
+        budgets[host].note_request(now)
+        requests.append(now)
+        for _ in range(4):  # every request fails and wants four more tries
+            if budgets[host].spend(HOSTS, now):
+                repeats.append(now)
+    for end in range(10, 60):
+        inside = [time for time in repeats if end - window < time <= end]
+        earned = [time for time in requests if end - window < time <= end]
+        assert len(inside) <= ratio * len(earned) + slack
+    assert len(repeats) > 6 * slack, "hardly any repeat was allowed"
+
+
+@behave.then("a cold server gets no more than its rate in any second (cold return)")
+def check_ramp(context):
+    rate, overage, slack = 38.0, 1.5, 5.0
+    source = random.Random(4)
+    ramps = [coldramp.ColdRamp() for _ in range(HOSTS)]
+    taken, now = [], 0.0
+    while now < 5.0:
+        now += source.expovariate(2000.0)
+        ramp = ramps[source.randrange(HOSTS)]
+        if ramp.may_take("cold", rate, HOSTS, now):
+            ramp.take("cold")
+            taken.append(now)
+    for start in taken:
+        inside = [time for time in taken if start <= time < start + 1.0]
+        assert len(inside) <= rate * overage + slack
+    assert len(taken) > 4 * rate, "the server was hardly used"
+
+
+def make_servers(count, slots=6):
+    return [
+        roster.ServerListing(f"s{n}", 1, 1, "s", f"10.0.0.{n}:1", "z", slots, 0.0)
+        for n in range(count)
+    ]
+
+
+def run_crowd(choose, seed):
+    """Plays a crowd on 12 servers; returns the mean of the fullest server's load.
+
+    Each host tells and hears the open requests of all others every 0.3 s.
+    """
+    source = random.Random(seed)
+    servers = make_servers(12)
+    hosts = [serverchoice.ServerChoice(random.Random(seed + n)) for n in range(HOSTS)]
+    running = []
+    fullest, now, told_at = [], 0.0, 0.0
+    while now < 60.0:
+        now += source.expovariate(24.0)
+        for end, host, name in [item for item in running if item[0] <= now]:
+            running.remove((end, host, name))
+            hosts[host].note_ended(name)
+        if now - told_at > 0.3:
+            told_at = now
+            for number, host in enumerate(hosts):
+                totals = collections.Counter()
+                for other in hosts[:number] + hosts[number + 1 :]:
+                    for item in other.list_own():
+                        totals[item.server] += item.count
+                elsewhere = [roster.OpenRequests(*item) for item in totals.items()]
+                host.note_others(elsewhere, now)
+        host = source.randrange(HOSTS)
+        chosen = choose(hosts[host], servers, now, source)
+        hosts[host].note_sent(chosen.name)
+        running.append((now + source.uniform(1.0, 3.0), host, chosen.name))
+        loads = collections.Counter(name for _, _, name in running)
+        fullest.append(max(loads.values()))
+    return sum(fullest) / len(fullest)
+
+
+@behave.then("the fullest server is less full than with random choice (flash crowd)")
+def check_crowd(context):
+    informed = run_crowd(lambda host, s, now, source: host.choose(s, 6, now), 5)
+    at_random = run_crowd(lambda host, s, now, source: source.choice(s), 5)
+    print(
+        f"figure: fullest of 12 servers at 4 requests each on average: "
+        f"{informed:.2f} chosen, {at_random:.2f} at random",
+        file=sys.__stdout__,
+    )
+    # Six slots: more than that is a queue at one server while others have room.
+    assert informed <= 6.0 < at_random
+
+
+@behave.then("a failing server is left out and tried again")
+def check_backoff(context):
+    choice = serverchoice.ServerChoice(random.Random(1))
+    first, second = make_servers(2)
+    previous, now = 0.0, 0.0
+    for _ in range(4):
+        out_s = choice.note_failure(first.name, now)
+        assert out_s > previous
+        previous = out_s
+        for _ in range(20):
+            assert choice.choose([first, second], 6, now) is second
+        # The only server there is may still be tried.
+        assert choice.choose([first], 6, now) is first
+        now += out_s
+    names = {choice.choose([first, second], 6, now).name for _ in range(50)}
+    assert first.name in names
+    choice.note_success(first.name)
+    assert choice.note_failure(first.name, now) == serverchoice.FIRST_BACKOFF_S
+
+
+@behave.then("any cutting of a stream gives whole events and the last id")
+def check_cutter(context):
+    event = strategies.tuples(
+        strategies.integers(0, 999), strategies.text("ab \n", max_size=9)
+    )
+
+    def write(item):
+        number, text = item
+        lines = "".join(f"data: {line}\n" for line in text.split("\n"))
+        return f"id: {number}\n{lines}\n".encode()
+
+    @hypothesis.given(strategies.lists(event, max_size=8), strategies.data())
+    def check(events, data):
+        stream = b"".join(map(write, events))
+        torn = write((1000, "torn"))[: data.draw(strategies.integers(0, 12))]
+        cutter, passed, rest = eventstream.EventCutter("start"), b"", stream + torn
+        while rest:
+            size = data.draw(strategies.integers(1, len(rest)))
+            passed += cutter.feed(rest[:size])
+            rest = rest[size:]
+        assert passed == stream, "an event was torn, lost or doubled"
+        assert cutter.last_id == (str(events[-1][0]) if events else "start")
+        assert cutter.take_rest() == torn
+
+    check()
+
+
+@behave.then("a caller cannot set what the system tells a backend server")
+def check_headers(context):
+    names = nativedialect.HEADERS
+    sent = [
+        ("Host", "shop.example"), ("Connection", "keep-alive, X-Hop"),
+        ("X-Hop", "1"), ("Keep-Alive", "timeout=5"), ("Transfer-Encoding", "chunked"),
+        ("Authorization", "Bearer secret"), ("Content-Length", "99"),
+        (names.organisation.upper(), "somebody else"), ("X-Kept", "yes"),
+        (names.time_left_ms, "999999"), (names.expected_server, "another"),
+    ]  # fmt: skip
+    own = {names.time_left_ms: "10", names.expected_server: "s1"}
+    made = headers.make_request_headers(sent, names, 3, "POST", own)
+    assert made == (
+        ("Host", "shop.example"), ("X-Kept", "yes"), ("Content-Length", "3"),
+        (names.time_left_ms, "10"), (names.expected_server, "s1"),
+    )  # fmt: skip
+
+
+BOUNDS = evenshares.PlacementBounds(slots=8, copies=3)
+
+
+@behave.then("a planned placement is never slower and copies within bounds")
+def check_placement(context):
+    @hypothesis.settings(max_examples=60)
+    @hypothesis.given(
+        strategies.integers(2, 6), strategies.integers(4, 24), strategies.data()
+    )
+    def check(ranks, experts, data):
+        slots = -(-experts // ranks) + data.draw(strategies.integers(0, 2))
+        copies = data.draw(strategies.integers(0, 3))
+        bounds = evenshares.PlacementBounds(slots, copies)
+        paces = [1.0] * ranks
+        placement = evenshares.place_in_turn(experts, ranks)
+        for _ in range(2):
+            loads = data.draw(
+                strategies.lists(
+                    strategies.floats(0.0, 100.0), min_size=experts, max_size=experts
+                )
+            )
+            if not any(loads):
+                return
+            planned = evenshares.plan_layer(placement, loads, paces, bounds)
+            before = evenshares.measure_slowest(placement, loads, paces)
+            after = evenshares.measure_slowest(planned, loads, paces)
+            assert after <= before * (1 + 1e-9)
+            assert {e for held in planned for e in held} == set(range(experts))
+            for old, new in zip(placement, planned, strict=True):
+                assert len(new) <= slots and len(set(new)) == len(new)
+                assert len(set(new) - set(old)) <= copies
+            placement = planned
+
+    check()
+
+
+def make_skewed_loads(source, experts=72, hot=4):
+    loads = [source.uniform(0.5, 1.5) for _ in range(experts)]
+    for expert in source.sample(range(experts), hot):
+        loads[expert] += 20.0
+    return loads
+
+
+@behave.then("a few hot experts are spread with few copies (demand shift)")
+def check_shift(context):
+    source, paces = random.Random(6), [1.0] * 12
+    for _ in range(10):
+        loads = make_skewed_loads(source)
+        start = evenshares.place_in_turn(72, 12)
+        even = sum(loads) / 12
+        before = evenshares.measure_slowest(start, loads, paces) / even
+        bounds = evenshares.PlacementBounds(8, 3, gain_per_copy=0.008)
+        planned = evenshares.plan_layer(start, loads, paces, bounds)
+        after = evenshares.measure_slowest(planned, loads, paces) / even
+        copies = evenshares.count_copies(start, planned)
+        # Without any copy a hot expert alone is 1.7 times an even share.
+        assert before > 1.7
+        assert after < 1.0 + (before - 1.0) / 2
+        gain = (before - after) / before
+        assert gain >= 0.008 * copies, (gain, copies)
+
+
+@behave.then("a slow rank gets less work (slow rank)")
+def check_slow_rank(context):
+    loads = [1.0] * 72
+    paces = [3.0] + [1.0] * 11
+    placement = evenshares.place_in_turn(72, 12)
+    before = evenshares.measure_slowest(placement, loads, paces)
+    for _ in range(4):
+        placement = evenshares.plan_layer(placement, loads, paces, BOUNDS)
+    after = evenshares.measure_slowest(placement, loads, paces)
+    assert after < before / 2, (before, after)
+
+
+@behave.then("demand fades and starts anew with a rank")
+def check_demand(context):
+    def make_report(counts):
+        return maporders.EngineReport(
+            "s", "g", 1, 0, 1, True, False, 1.0, 0, 0, -1, -1, -1, -1, counts
+        )
+
+    seen = demand.Demand()
+    seen.take([make_report((100, 100))], 0.0)
+    assert seen.total == 0.0, "counts of an unknown time were taken"
+    seen.take([make_report((180, 100))], 1.0)
+    assert seen.split_layers(1) == [[80.0, 0.0]]
+    seen.take([make_report((180, 180))], 1.0 + demand.HALF_LIFE_S)
+    assert seen.split_layers(1) == [[40.0, 80.0]]
+    before = seen.total
+    seen.take([make_report((3, 0))], 1.0 + demand.HALF_LIFE_S)
+    assert seen.total == before, "a restarted rank's counts were taken"
--- /dev/null
+++ b/tests/steps/forwardingfleet.py
@@ -0,0 +1,152 @@
+import concurrent.futures
+import signal
+import time
+
+import behave
+from support import forwardingfleet, processes
+
+LEASE_S = 2.5
+
+
+@behave.given("a forwarding deployment of three log hosts and two gateways")
+def start_fleet(context):
+    context.fleet = fleet = forwardingfleet.Fleet()
+    context.closers.append(fleet.close)
+    fleet.start()
+    fleet.put_table(1)
+    fleet.wait_until_served()
+
+
+@behave.then("safe, unsafe and streamed requests are answered whole")
+def check_answers(context):
+    fleet = context.fleet
+    assert fleet.request("/safe/a", "r1").status == 200
+    assert fleet.request("/unsafe/a", "r2", gateway=1).status == 200
+    assert fleet.count_runs("r2") == 1
+    check_stream(fleet.request("/stream/a", "r3"))
+    organisations = set().union(*(server.organisations for server in fleet.servers))
+    assert organisations == {"shop"}
+
+
+def check_stream(answer):
+    events = range(1, forwardingfleet.EVENTS + 1)
+    expected = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in events)
+    assert answer.status == 200 and answer.body.decode() == expected, answer.body
+
+
+@behave.then("unknown keys and routes are refused and unknown paths not found")
+def check_refusals(context):
+    fleet = context.fleet
+    assert fleet.request("/safe/a", "r4", key="nobody's").status == 401
+    assert fleet.request("/other/a", "r5").status == 404
+    assert fleet.ask_control("/other").status == 404
+    bad = fleet.make_table(9)
+    bad["routes"][0]["services"] = [{"service": "unknown"}]
+    assert fleet.ask_control("/routes", bad, "PUT").status == 400
+    assert fleet.ask_control("/routes").document["version"] == 1
+
+
+@behave.then("no backend server saw a key")
+def check_keys(context):
+    assert sum(server.leaked_keys for server in context.fleet.servers) == 0
+
+
+@behave.then("a stream that breaks off at event 7 is whole for its caller")
+def check_resumed(context):
+    fleet = context.fleet
+    for server in fleet.servers[:2]:
+        server.breaks_at = 7
+    for number in range(6):
+        answer = fleet.request("/stream/a", f"s{number}")
+        check_stream(answer)
+        for server in fleet.servers[:2]:
+            server.breaks_at = 7 if server.breaks_at else 0
+        if fleet.count_runs(f"s{number}") > 1:
+            return
+    raise AssertionError("no stream was broken off")
+
+
+@behave.then("an unsafe request that a server refuses runs once elsewhere")
+def check_refused(context):
+    fleet = context.fleet
+    for server in fleet.servers[:2]:
+        server.refuses = True
+    for number in range(6):
+        assert fleet.request("/unsafe/a", f"u{number}").status == 200
+        assert fleet.count_runs(f"u{number}") == 1
+
+
+@behave.then("a table, a zone out and a farewell survive the death of all log hosts")
+def check_acknowledged(context):
+    fleet = context.fleet
+    fleet.put_table(2)
+    zone = fleet.servers[0].zone
+    assert fleet.ask_control(f"/zones-out/{zone}", {}, "PUT").status == 200
+    leaving = fleet.servers[1]
+    path = f"/backend-servers/{leaving.name}"
+    answer = fleet.ask_control(path, {"born_ms": leaving.born_ms}, "DELETE")
+    assert answer.status == 200
+    for number in range(3):
+        fleet.stop(f"control-{number + 1}")
+    for number in range(3):
+        fleet.start_control(number)
+    fleet.wait_until_served()
+    assert fleet.ask_control("/routes").document["version"] == 2
+    before = [sum(server.runs.values()) for server in fleet.servers]
+    for number in range(20):
+        assert fleet.request("/safe/a", f"k{number}").status == 200
+    after = [sum(server.runs.values()) for server in fleet.servers]
+    assert after[0] == before[0], "the zone out got work"
+    assert after[1] == before[1], "the departed server got work"
+    assert after[2] == before[2] + 20
+
+
+@behave.then("after a wipe and a second loss the deployment still commits")
+def check_wipe(context):
+    fleet = context.fleet
+    fleet.put_table(2)
+    fleet.wipe("control-2")
+    fleet.start_control(1)
+    # The loss of another host must be borne this long after the wiped one is back.
+    time.sleep(4.0)
+    fleet.stop("control-3")
+    fleet.put_table(3)
+    assert fleet.ask_control("/routes").document["version"] == 3
+
+
+@behave.then("requests during a planned stop of a gateway are all answered")
+def check_planned_stop(context):
+    fleet = context.fleet
+    statuses = []
+
+    def ask(number):
+        return fleet.request("/stream/a", f"p{number}", gateway=0)
+
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        asked = [pool.submit(ask, number) for number in range(8)]
+        time.sleep(0.1)
+        fleet.processes["gateway-1"].send_signal(signal.SIGTERM)
+        asked += [pool.submit(ask, number) for number in range(8, 24)]
+        for future in asked:
+            answer = future.result()
+            statuses.append(answer.status)
+            if answer.status == 200:
+                check_stream(answer)
+    assert set(statuses) == {200}, statuses
+    assert fleet.processes["gateway-1"].wait(timeout=15) == 0
+
+
+@behave.then("a gateway without a leader refuses requests as not run")
+def check_cut_off(context):
+    fleet = context.fleet
+    for number in range(3):
+        fleet.processes[f"control-{number + 1}"].send_signal(signal.SIGSTOP)
+    time.sleep(LEASE_S + 0.5)
+    answer = fleet.request("/unsafe/a", "c1")
+    assert answer.status == 503 and "Retry-After" in answer.headers
+    assert fleet.count_runs("c1") == 0
+    for number in range(3):
+        fleet.processes[f"control-{number + 1}"].send_signal(signal.SIGCONT)
+    processes.wait_until(
+        lambda: fleet.request("/safe/a", "c2").status == 200, "it serves again"
+    )
--- /dev/null
+++ b/tests/steps/mapswitch.py
@@ -0,0 +1,71 @@
+import functools
+import random
+import sys
+
+import behave
+from support import explorer, mapworld
+
+MAX_STATES = 400_000
+VARIANTS = {
+    "with engines that ignore fences": functools.partial(mapworld.World, fences=False),
+    "that releases before all are armed": functools.partial(
+        mapworld.World, mapworld.Hasty
+    ),
+    "that holds no pass": functools.partial(mapworld.World, mapworld.Unheld),
+    "that forgets orders without an answer": functools.partial(
+        mapworld.World, mapworld.UnawareOfDoubt
+    ),
+}
+
+
+@behave.then("the map switch has one map in every pass of all its states")
+def check_model(context):
+    found = explorer.search(mapworld.World(faults=1), MAX_STATES)
+    print(f"figure: states explored {found.states} (map switch)", file=sys.__stdout__)
+    assert not found.problem, (found.problem, found.trace)
+    assert found.complete, "the bound on states was reached"
+    walked = explorer.walk(
+        functools.partial(mapworld.World, faults=5), random.Random(1), 800, 120
+    )
+    assert not walked.problem, (walked.problem, walked.trace)
+
+
+@behave.then("the map switch {variant} begins a pass with two maps")
+def check_variant(context, variant):
+    found = explorer.search(VARIANTS[variant](), MAX_STATES)
+    assert found.problem, f"{found.states} states without a problem"
+    print(
+        f"figure: refuted after {len(found.trace)} moves {variant}",
+        file=sys.__stdout__,
+    )
+
+
+@behave.then("after any faults the newest coordinator releases the group")
+def check_release(context):
+    source = random.Random(2)
+    for _ in range(400):
+        world = mapworld.World(faults=4)
+        for _ in range(source.randrange(60)):
+            actions = world.list_actions()
+            if not actions:
+                break
+            world.act(explorer.choose_action(actions, source))
+        world.settle()
+        assert not world.problem, world.problem
+        assert all(rank.held == mapworld.NONE for rank in world.ranks)
+        assert not any(rank.armed for rank in world.ranks)
+
+
+@behave.then("an undisturbed map switch reaches the target on every rank")
+def check_switch(context):
+    world = mapworld.World(faults=0)
+    world.do_look(0)
+    while world.pending:
+        world.do_answer()
+    world.do_look(0)
+    target = world.switches[0].target_version
+    assert target > 0
+    while world.pending:
+        world.do_answer()
+    world.settle()
+    assert [rank.map[0] for rank in world.ranks] == [target] * mapworld.RANKS
--- /dev/null
+++ b/tests/steps/roster.py
@@ -0,0 +1,271 @@
+import dataclasses
+import random
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from lycheegauge.internal.coordination import rosterbook, rosterview
+from lycheegauge.internal.coordination.agreement import repair, replica, timing
+from lycheegauge.internal.protocol import agreement, changes, freshness, roster
+from lycheegauge.internal.state import routing
+
+LIFETIMES = rosterbook.Lifetimes(server_s=4.0, host_s=2.0)
+
+
+def make_server(name="a", born_ms=1, sequence=1, address="10.0.0.1:80", **fields):
+    values = {
+        "service": "drafting", "availability_zone": "z1", "slots": 6, "cold_s": 0.0,
+        **fields,
+    }  # fmt: skip
+    return roster.ServerListing(
+        name=name, born_ms=born_ms, sequence=sequence, address=address, **values
+    )
+
+
+def make_book(source="leader-1"):
+    return rosterbook.RosterBook(source, LIFETIMES)
+
+
+def make_reply(book, pull, restrictions=None, proof=True):
+    news = book.list_changes(pull.message.source, pull.message.cursor)
+    return roster.RosterReply(
+        freshness.Proof(1, 0.0, 0.0) if proof else None,
+        "10.0.0.9:1", (), None, restrictions, None, book.source,
+        news.cursor, news.whole, news.servers, news.servers_gone, news.hosts,
+        news.hosts_gone,
+    )  # fmt: skip
+
+
+def pull(view, book, now, **fields):
+    question = view.begin_pull(None, now)
+    return view.take_reply(question, make_reply(book, question, **fields), now)
+
+
+@behave.then("a late announcement does not replace a newer one")
+def check_late(context):
+    book = make_book()
+    book.take_announcement(make_server(sequence=5), 0.0)
+    assert not book.take_announcement(make_server(sequence=4, leaving=True), 1.0)
+    assert not book.find_server("a").leaving
+
+
+@behave.then("an announcement of an older start does not take an address back")
+def check_rival(context):
+    book = make_book()
+    book.take_announcement(make_server("old", born_ms=1), 0.0)
+    assert book.take_announcement(make_server("new", born_ms=2), 1.0)
+    assert not book.take_announcement(make_server("old", born_ms=1, sequence=9), 2.0)
+    assert [server.name for server in book.list_servers()] == ["new"]
+
+
+@behave.then("a later start under the same id replaces the earlier one")
+def check_same_id(context):
+    book = make_book()
+    book.take_announcement(make_server(born_ms=1, sequence=50), 0.0)
+    assert book.take_announcement(make_server(born_ms=2, sequence=1), 1.0)
+    assert book.find_server("a").born_ms == 2
+    book.remove_server(roster.Departure("a", 1))
+    assert book.find_server("a") is not None, "an older start's farewell removed it"
+
+
+@behave.then("any series of changes leaves a follower with the leader's book")
+def check_following(context):
+    names = strategies.sampled_from("abcd")
+    event = strategies.one_of(
+        strategies.tuples(
+            strategies.just("announce"), names, strategies.integers(1, 3)
+        ),
+        strategies.tuples(strategies.just("leave"), names, strategies.integers(1, 3)),
+        strategies.tuples(strategies.just("host"), names, strategies.booleans()),
+        strategies.tuples(strategies.just("wait"), strategies.integers(0, 5)),
+        strategies.tuples(strategies.just("pull")),
+    )
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(strategies.lists(event, max_size=40))
+    def check(events):
+        book, view, now = make_book(), rosterview.RosterView(), 0.0
+        for index, (kind, *rest) in enumerate(events):
+            match kind:
+                case "announce":
+                    name, born = rest
+                    listing = make_server(name, born, index, f"10.0.0.{ord(name)}:1")
+                    book.take_announcement(listing, now)
+                case "leave":
+                    book.remove_server(roster.Departure(*rest))
+                case "host":
+                    name, leaving = rest
+                    listing = roster.HostListing(name, "1", "z", "h", True, leaving)
+                    book.take_host(listing, now)
+                case "wait":
+                    now += rest[0]
+                    book.expire(now)
+                case "pull":
+                    pull(view, book, now)
+        pull(view, book, now)
+        ignored = {"sequence": 0}
+        mirrored = {
+            name: dataclasses.replace(server, **ignored)
+            for name, server in view.servers.items()
+        }
+        assert mirrored == {
+            server.name: dataclasses.replace(server, **ignored)
+            for server in book.list_servers()
+        }
+        assert set(view.hosts.values()) == set(book.list_hosts())
+
+    check()
+
+
+@behave.then("a departed server gets no work though a new leader lists it")
+def check_departed(context):
+    part = routing.RoutingPart()
+    part.apply(changes.NoteDeparture("a", 7))
+    view, book = rosterview.RosterView(), make_book("leader-2")
+    book.take_announcement(make_server(born_ms=7), 0.0)
+    pull(view, book, 0.0, restrictions=part.restrictions)
+    assert view.servers and not view.list_usable(0.0)
+    context.view = view
+
+
+@behave.then("a server that starts again under its id gets work")
+def check_reborn(context):
+    book = make_book("leader-3")
+    book.take_announcement(make_server(born_ms=8), 0.0)
+    pull(context.view, book, 1.0)
+    assert [server.born_ms for server in context.view.list_usable(1.0)] == [8]
+
+
+@behave.then("route tables in any order leave the highest in force")
+def check_versions(context):
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 20), min_size=1, max_size=20)
+    )
+    def check(versions):
+        part = routing.RoutingPart()
+        held = 0
+        for index, version in enumerate(versions):
+            part.apply(changes.PutRouteTable(version, b"%d" % index))
+            assert part.table.version >= held, "an older table came back"
+            held = part.table.version
+        assert part.table.version == max(versions)
+        # The first table under a number stays; other content under it does not.
+        first = versions.index(max(versions))
+        assert part.table.body == b"%d" % first
+
+    check()
+
+
+@behave.then("the routing state survives a snapshot")
+def check_snapshot(context):
+    part, copy = routing.RoutingPart(), routing.RoutingPart()
+    part.apply(changes.PutRouteTable(3, b"table"))
+    part.apply(changes.SetZoneOut("z1", True))
+    part.apply(changes.SetZoneOut("z2", True))
+    part.apply(changes.SetZoneOut("z1", False))
+    part.apply(changes.NoteDeparture("a", 7))
+    copy.load(part.dump())
+    assert copy.dump() == part.dump()
+    assert copy.restrictions.zones_out == ("z2",)
+    assert copy.has_departed(roster.Departure("a", 7))
+
+
+@behave.then("a new leader's empty book does not empty the view at once")
+def check_mirror(context):
+    view, old, new = rosterview.RosterView(), make_book("one"), make_book("two")
+    old.take_announcement(make_server("a"), 0.0)
+    old.take_announcement(make_server("b", address="10.0.0.2:80"), 0.0)
+    pull(view, old, 0.0)
+    new.take_announcement(make_server("b", address="10.0.0.2:80"), 1.0)
+    pull(view, new, 1.0)
+    assert {server.name for server in view.list_usable(1.5)} == {"a", "b"}
+    late = 1.0 + rosterview.MIRROR_GRACE_S
+    assert {server.name for server in view.list_usable(late)} == {"b"}
+
+
+@behave.then("an answer without a proof changes no view")
+def check_proof(context):
+    view, book = rosterview.RosterView(), make_book()
+    book.take_announcement(make_server(), 0.0)
+    assert pull(view, book, 0.0, proof=False) == ()
+    assert not view.servers and not view.lease.allows_start(0.0)
+
+
+VOTERS = tuple(agreement.Voter(f"h{number}", "first") for number in range(3))
+
+
+def step_cluster(replicas, inbox, now, reachable):
+    """Delivers what was sent, syncs at once, and ticks everybody."""
+    pending, inbox[:] = inbox[:], []
+    for receiver, message in pending:
+        if receiver in reachable:
+            perform(replicas, receiver, replicas[receiver].receive(message, now), inbox)
+    for host in reachable:
+        perform(replicas, host, replicas[host].tick(now), inbox)
+
+
+def perform(replicas, host, effects, inbox):
+    for effect in effects:
+        match effect:
+            case agreement.Send():
+                inbox.append((effect.receiver.host, effect.message))
+            case agreement.Persist():
+                synced = replicas[host].report_synced(context_now["now"])
+                perform(replicas, host, synced, inbox)
+
+
+context_now = {"now": 0.0}
+
+
+def make_replica(identity, seed, limits):
+    return replica.Replica(
+        agreement.StoredState(identity), agreement.Membership(VOTERS), limits,
+        random.Random(seed), context_now["now"],
+    )  # fmt: skip
+
+
+@behave.then("a wiped voter's host is voter again within 4 seconds")
+def check_wiped_voter(context):
+    from lycheegauge.internal.daemons import rosterhost
+
+    limits, inbox = rosterhost.TIMING, []
+    context_now["now"] = 0.0
+    replicas = {v.host: make_replica(v, n, limits) for n, v in enumerate(VOTERS)}
+    decide = repair.Repair(3, None).decide
+    fixed = run_repairs(replicas, inbox, decide, 3.0, set(replicas))
+    leader = next(host for host, item in replicas.items() if item.is_leader)
+    lost = next(host for host in replicas if host != leader)
+    heir = agreement.Voter(lost, "another disk")
+    replicas[lost] = make_replica(heir, 9, limits)
+    fixed = run_repairs(replicas, inbox, decide, 4.0, set(replicas))
+    assert heir in fixed.voters, fixed
+    assert agreement.Voter(lost, "first") not in fixed.voters
+
+
+def run_repairs(replicas, inbox, decide, duration_s, reachable):
+    end = context_now["now"] + duration_s
+    while context_now["now"] < end:
+        context_now["now"] += 0.05
+        now = context_now["now"]
+        step_cluster(replicas, inbox, now, reachable)
+        for host, item in replicas.items():
+            contacts = item.describe_contacts(now)
+            proposed = decide(contacts) if contacts else None
+            if proposed is not None:
+                effects = item.propose_membership("repair", proposed, now)
+                perform(replicas, host, effects, inbox)
+    return next(item.membership for item in replicas.values() if item.is_leader)
+
+
+@behave.then("a stranger announces itself to its contacts")
+def check_stranger(context):
+    context_now["now"] = 0.0
+    stranger = make_replica(agreement.Voter("new", "disk"), 1, timing.Timing())
+    stranger.set_contacts(("h7", "new"))
+    sent = [
+        effect.receiver.host
+        for effect in stranger.tick(0.0)
+        if isinstance(effect, agreement.Send)
+    ]
+    assert sorted(sent) == ["h0", "h1", "h2", "h7"], sent
--- /dev/null
+++ b/tests/steps/upstream.py
@@ -0,0 +1,134 @@
+import asyncio
+import socket
+import struct
+
+import behave
+
+from lycheegauge import errors
+from lycheegauge.internal.transport import upstream
+
+BODY = b"0123456789"
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SIZED = HEAD + b"Content-Length: 10\r\n\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+WHOLE = SIZED + BODY
+
+# What is sent, and whether the server then closes or resets the connection.
+SENT = {
+    "a whole answer": (WHOLE, ""),
+    "a whole answer in chunks": (CHUNKED + b"4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n", ""),
+    "a whole answer and says close": (
+        HEAD + b"Connection: close\r\nContent-Length: 10\r\n\r\n" + BODY, "close",
+    ),
+    "an answer without a length": (HEAD + b"\r\n" + BODY, "close"),
+    "an answer without a length, reset": (HEAD + b"\r\n" + BODY, "reset"),
+    "half of an answer": (SIZED + BODY[:5], "close"),
+    "half of an answer in chunks": (CHUNKED + b"4\r\n0123\r\n6\r\n45", "close"),
+    "bytes that are no answer": (b"\x00\x01 not http\r\n\r\n", ""),
+    "two answers": (WHOLE + WHOLE, ""),
+    "nothing, and closes": (b"", "close"),
+    "a whole answer and later another": (WHOLE, "again"),
+    "idle": (HEAD + b"Keep-Alive: timeout=1\r\nContent-Length: 10\r\n\r\n" + BODY, ""),
+}  # fmt: skip
+
+
+class Server:
+    """Answers each request with the same bytes, whatever it is."""
+
+    def __init__(self, sent, ending):
+        self.sent, self.ending = sent, ending
+        self.connections = 0
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(self.sent)
+                await writer.drain()
+                if self.ending == "again":
+                    await asyncio.sleep(0.05)
+                    writer.write(self.sent)
+                if self.ending == "reset":
+                    # The bytes must arrive before the reset discards them.
+                    await asyncio.sleep(0.05)
+                    opened = writer.get_extra_info("socket")
+                    no_linger = struct.pack("ii", 1, 0)
+                    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+                    writer.transport.abort()
+                    return
+                if self.ending == "close":
+                    writer.close()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+async def ask(pool, address):
+    connection = await pool.open("server", address)
+    try:
+        connection.send(upstream.RequestHead("GET", "/", (("Host", "s"),)), b"")
+        await connection.read_head()
+        body = b""
+        while part := await connection.read_body():
+            body += part
+    except errors.BackendServerFailedError:
+        connection.abort()
+        return "breaks off", connection
+    assert body == BODY, body
+    pool.give_back("server", connection)
+    return "is whole", connection
+
+
+async def play(name, asks=1, pause_s=0.1):
+    server, pool = Server(*SENT[name]), upstream.ConnectionPool()
+    address = await server.start()
+    outcomes = []
+    for _ in range(asks):
+        outcome, connection = await ask(pool, address)
+        await asyncio.sleep(pause_s)
+        outcomes.append((outcome, connection.is_usable))
+    pool.close()
+    server.server.close()
+    return outcomes, server.connections
+
+
+@behave.given("a backend server that sends {sent}")
+def keep_sent(context, sent):
+    context.sent = sent
+
+
+@behave.given("a backend server that keeps idle connections for one second")
+def keep_idle(context):
+    context.sent = "idle"
+
+
+@behave.then("the answer {outcome}")
+def check_outcome(context, outcome):
+    outcomes, _ = asyncio.run(play(context.sent))
+    context.kept = outcomes[0][1]
+    assert outcomes[0][0] == outcome, outcomes
+
+
+@behave.then("the connection is {kept}")
+def check_kept(context, kept):
+    assert context.kept == (kept == "kept")
+
+
+@behave.then("the second request opens a new connection")
+def check_late(context):
+    outcomes, connections = asyncio.run(play(context.sent, asks=2, pause_s=0.2))
+    assert [outcome for outcome, _ in outcomes] == ["is whole", "is whole"]
+    assert connections == 2
+
+
+@behave.then("after that second a new connection is opened")
+def check_idle(context):
+    _, connections = asyncio.run(play(context.sent, asks=2, pause_s=0.1))
+    assert connections == 1, "a fresh connection was not used again"
+    _, connections = asyncio.run(play(context.sent, asks=2, pause_s=1.0))
+    assert connections == 2
--- /dev/null
+++ b/tests/support/forwardingfleet.py
@@ -0,0 +1,264 @@
+"""A forwarding deployment as processes, and backend servers as threads.
+
+All hosts use the same port, each on a loopback address of its own.
+"""
+
+import asyncio
+import collections
+import json
+import pathlib
+import shutil
+import signal
+import tempfile
+import threading
+import time
+
+from support import processes
+
+PREFIX = "/v1"
+KEY = "key-of-shop"
+OTHER_KEY = "key-of-office"
+ANNOUNCE_INTERVAL_S = 0.3
+EVENTS = 20
+EVENT_INTERVAL_S = 0.02
+
+
+class BackendServer:
+    """Announces itself and answers; ``breaks_at`` cuts a stream after that event."""
+
+    def __init__(self, name, zone, control_hosts, service="drafting"):
+        self.name, self.zone, self.service = name, zone, service
+        self.control_hosts = list(control_hosts)
+        self.runs = collections.Counter()
+        self.organisations = collections.Counter()
+        self.leaked_keys = 0
+        self.breaks_at = 0
+        self.refuses = False
+        self.leaving = False
+        self.sequence = 0
+        self.born_ms = time.time_ns() // 1_000_000
+        self.loop = asyncio.new_event_loop()
+        self.address = ""
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def start(self):
+        self.thread.start()
+        return processes.wait_until(lambda: self.address, "the server listens")
+
+    def close(self):
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+
+    def run(self):
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_until_complete(self.listen())
+        self.loop.create_task(self.keep_announcing())
+        self.loop.run_forever()
+
+    async def listen(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def keep_announcing(self):
+        while True:
+            await asyncio.to_thread(self.announce)
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def announce(self):
+        self.sequence += 1
+        document = {
+            "service": self.service, "address": self.address,
+            "availability_zone": self.zone, "born_ms": self.born_ms,
+            "sequence": self.sequence, "slots": 4, "leaving": self.leaving,
+        }  # fmt: skip
+        body = json.dumps(document).encode()
+        for address in self.control_hosts:
+            try:
+                answer = processes.call(
+                    address, f"{PREFIX}/backend-servers/{self.name}", body,
+                    method="PUT", timeout=1.0,
+                )  # fmt: skip
+            except OSError:
+                continue
+            if answer.status == 200:
+                return True
+        return False
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                lines = head.split("\r\n")
+                fields = dict(
+                    line.lower().split(": ", 1) for line in lines[1:] if ": " in line
+                )
+                await reader.readexactly(int(fields.get("content-length", 0)))
+                await self.answer(lines[0].split(" ")[1], fields, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def answer(self, target, fields, writer):
+        self.leaked_keys += "authorization" in fields
+        request_id = fields["lycheegauge-request-id"]
+        expected = fields["lycheegauge-expected-server"]
+        if self.refuses or expected != self.name:
+            writer.write(
+                b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            return
+        self.runs[request_id] += 1
+        self.organisations[fields.get("lycheegauge-organisation", "")] += 1
+        if not target.startswith("/stream/"):
+            body = self.name.encode()
+            writer.write(
+                f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+                f"Lycheegauge-Request-Id: {request_id}\r\n\r\n".encode()
+                + body
+            )
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for number in range(int(fields.get("last-event-id") or 0) + 1, EVENTS + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if number == self.breaks_at:
+                # The server dies in the middle of this event.
+                writer.write(f"{len(event):x}\r\n".encode() + event[:5])
+                await writer.drain()
+                writer.transport.abort()
+                return
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        writer.write(b"0\r\n\r\n")
+
+
+class Fleet(processes.Deployment):
+    """Three log hosts, some gateways and backend servers in three zones."""
+
+    def __init__(self, gateways=2):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="lycheegauge-test-"))
+        self.processes = {}
+        self.servers = []
+        self.port, self.peer_port, self.ready_port = processes.reserve_ports(3)
+        self.control_hosts = [f"127.0.1.{n}:{self.port}" for n in (1, 2, 3)]
+        self.gateways = [f"127.0.2.{n + 1}:{self.port}" for n in range(gateways)]
+
+    def start(self, servers=3):
+        for number in range(3):
+            self.start_control(number, bootstrap=True)
+        for number in range(len(self.gateways)):
+            self.start_gateway(number)
+        for number in range(servers):
+            zone = processes.ZONES[number % 3]
+            self.start_server(f"server-{number + 1}", zone)
+
+    def close(self):
+        for server in self.servers:
+            server.close()
+        super().close()
+
+    def make_roster(self):
+        return {"seed_hosts": self.control_hosts, "pull_interval_s": 0.1}
+
+    def start_control(self, number, bootstrap=False):
+        host = self.control_hosts[number].split(":")[0]
+        name = f"control-{number + 1}"
+        part = {
+            "name": name, "availability_zone": processes.ZONES[number],
+            "control_address": self.control_hosts[number],
+            "directory_address": self.control_hosts[number],
+            "peer_address": f"{host}:{self.peer_port}",
+            "data_folder": str(self.folder / name), "bootstrap": bootstrap,
+            "announce_interval_s": ANNOUNCE_INTERVAL_S, "roster": self.make_roster(),
+        }  # fmt: skip
+        path = self.write_settings(name, {"control": part})
+        return self.start_process(name, "control", "--settings", path)
+
+    def start_gateway(self, number):
+        host = self.gateways[number].split(":")[0]
+        name = f"gateway-{number + 1}"
+        part = {
+            "name": name, "availability_zone": processes.ZONES[number],
+            "caller_address": self.gateways[number],
+            "readiness_address": f"{host}:{self.ready_port}",
+            "peer_address": f"{host}:{self.peer_port}", "roster": self.make_roster(),
+        }  # fmt: skip
+        path = self.write_settings(name, {"gateway": part})
+        return self.start_process(name, "gateway", "--settings", path)
+
+    def start_server(self, name, zone):
+        server = BackendServer(name, zone, self.control_hosts)
+        server.start()
+        self.servers.append(server)
+        return server
+
+    def stop(self, name, number=signal.SIGKILL):
+        self.processes[name].send_signal(number)
+        return self.processes[name].wait()
+
+    def wipe(self, name):
+        self.stop(name)
+        shutil.rmtree(self.folder / name)
+
+    def make_table(self, version, keys=((KEY, "shop"), (OTHER_KEY, "office"))):
+        repetitions = {
+            "/safe/": "safe", "/unsafe/": "unsafe", "/stream/": "resumable_stream"
+        }  # fmt: skip
+        return {
+            "version": version,
+            "routes": [
+                {
+                    "name": prefix.strip("/"), "host": "shop.example",
+                    "path_prefix": prefix, "services": [{"service": "drafting"}],
+                    "repetition": repetition, "timeout_s": 5.0,
+                }
+                for prefix, repetition in repetitions.items()
+            ],
+            "services": [{"name": "drafting"}],
+            "key_holders": [
+                {"organisation": holder, "keys": [key]} for key, holder in keys
+            ],
+            "needs_keys": True,
+        }  # fmt: skip
+
+    def ask_control(self, path, document=None, method="GET", first=0):
+        """Calls one log host after the other until one gives a clear answer."""
+        body = None if document is None else json.dumps(document).encode()
+
+        def try_all():
+            for number in range(3):
+                address = self.control_hosts[(first + number) % 3]
+                try:
+                    answer = processes.call(
+                        address, PREFIX + path, body, method=method, timeout=3.0
+                    )
+                except OSError:
+                    continue
+                if answer.status < 500:
+                    return answer
+            return None
+
+        return processes.wait_until(try_all, f"{method} {path} is answered")
+
+    def put_table(self, version, **fields):
+        answer = self.ask_control("/routes", self.make_table(version, **fields), "PUT")
+        assert answer.status == 200, answer.body
+
+    def request(self, path, request_id, key=KEY, gateway=0, **fields):
+        headers = {
+            "Host": "shop.example", "Lycheegauge-Request-Id": request_id,
+            "Lycheegauge-Deadline-Ms": "5000", "Authorization": f"Bearer {key}",
+            **fields,
+        }  # fmt: skip
+        return processes.call(self.gateways[gateway], path, headers=headers)
+
+    def wait_until_served(self):
+        for number in range(len(self.gateways)):
+            processes.wait_until(
+                lambda number=number: (
+                    self.request("/safe/x", "probe", gateway=number).status == 200
+                ),
+                f"gateway {number + 1} serves",
+            )
+
+    def count_runs(self, request_id):
+        return sum(server.runs[request_id] for server in self.servers)
