Log each decision on a request, bounded and never blocking; trace and metrics

Cause: on-call engineers have only logs and metrics, and the forwarding path told neither what decided a request nor what it cost. Events are a typed catalogue, a test fails when an ending writes none. Lines go through a bounded queue and a thread, so a stalled reader drops lines instead of holding requests up. The quarantine that was only half wired into the forwarding path is taken out. Costs are not measured yet.

--- a/src/lycheegauge/command.py
+++ b/src/lycheegauge/command.py
@@ -143,6 +143,17 @@
 
 
 def _add_operations(commands: typing.Any) -> None:
+    trace = commands.add_parser(
+        "trace", help="join the log lines of several processes on one request"
+    )
+    trace.add_argument("id", help="the request's id")
+    trace.add_argument("files", type=pathlib.Path, nargs="+", metavar="FILE")
+    trace.set_defaults(run=trace_request)
+    summary = commands.add_parser(
+        "logs-summary", help="count given-up requests by second and reason"
+    )
+    summary.add_argument("files", type=pathlib.Path, nargs="+", metavar="FILE")
+    summary.set_defaults(run=summarise_logs)
     check = commands.add_parser("check-settings", help="check settings files")
     check.add_argument(
         "files", type=pathlib.Path, nargs="+", metavar="FILE", help="settings file"
@@ -217,6 +228,25 @@
     return code
 
 
+def trace_request(options: argparse.Namespace) -> int:
+    """Prints what happened to a request, and what its hosts came to believe."""
+    from lycheegauge.internal import traces
+
+    story = traces.tell_request(options.id, traces.read_lines(options.files))
+    for line in story:
+        print(line)
+    return EXIT_DONE if story else EXIT_REFUSED
+
+
+def summarise_logs(options: argparse.Namespace) -> int:
+    """Prints how many requests were given up, by second and reason."""
+    from lycheegauge.internal import traces
+
+    for line in traces.count_reasons(traces.read_lines(options.files)):
+        print(line)
+    return EXIT_DONE
+
+
 def run_local(options: argparse.Namespace) -> int:
     """Runs a whole small system in one process."""
     from lycheegauge.internal.daemons import local
--- a/src/lycheegauge/internal/coordination/rosterview.py
+++ b/src/lycheegauge/internal/coordination/rosterview.py
@@ -36,7 +36,6 @@
         self.hosts: dict[str, roster.HostListing] = {}
         self.table: roster.RouteDocument | None = None
         self.restrictions = roster.Restrictions(0)
-        self.quarantine_version = 0
         self.refreshed_at = -math.inf
         self._source = ""
         self._cursor = 0
@@ -54,7 +53,6 @@
             host,
             self.table.version if self.table else 0,
             self.restrictions.revision,
-            self.quarantine_version,
             self._source,
             self._cursor,
             open_requests,
--- a/src/lycheegauge/internal/daemons/control.py
+++ b/src/lycheegauge/internal/daemons/control.py
@@ -2,11 +2,16 @@
 
 import loguru
 
-from lycheegauge import settings
+from lycheegauge import metrics, settings
 from lycheegauge.internal import logs
-from lycheegauge.internal.daemons import controlgate, lifecycle, rosterhost
+from lycheegauge.internal.daemons import (
+    controlgate,
+    lifecycle,
+    metricslistener,
+    rosterhost,
+)
 from lycheegauge.internal.protocol import controlcalls
-from lycheegauge.internal.transport import controlapi, peers, services, web
+from lycheegauge.internal.transport import clock, controlapi, peers, services, web
 
 
 class ControlDaemon:
@@ -22,15 +27,52 @@
             self.host.pull,
             self.gate.take_relayed,
             self.host.tell_log_hosts,
-            self.host.take_crash,
         )
         self._peer_server = peers.PeerServer(part.peer_address, [service])
         application = controlapi.make_application(self.gate.handle, part.limits)
+        self.metrics = metrics.Metrics()
+        self._observe()
+        self._metrics_listener = metricslistener.MetricsListener(
+            part.metrics_address, self.metrics, part.limits
+        )
         self.listeners = [
             web.Listener(address, application, part.limits)
             for address in dict.fromkeys((part.control_address, part.directory_address))
         ]
 
+    def _observe(self) -> None:
+        """Exports what this host holds and believes now."""
+        host = self.host
+        for name, description, read in (
+            ("leads", "1 while this host leads the log", lambda: host.task.is_leader),
+            ("term", "The log's term", lambda: host.task.term),
+            ("log_index", "Last entry applied", lambda: host.task.applied_index),
+            (
+                "voters",
+                "Voters of the log",
+                lambda: len(host.task.membership.voters),
+            ),
+            (
+                "backend_servers",
+                "Backend servers in the leader's book",
+                lambda: (
+                    len(host.get_book().list_servers())
+                    if host.task.is_leader
+                    else len(host.view.servers)
+                ),
+            ),
+            (
+                "roster_age",
+                "Seconds since a follower last heard the leader",
+                lambda: (
+                    0.0
+                    if host.task.is_leader
+                    else min(1e6, clock.read_clock() - host.view.refreshed_at)
+                ),
+            ),
+        ):
+            self.metrics.observe(f"lycheegauge_{name}", description, read)
+
     async def start(self) -> None:
         """Opens the journal and starts listening.
 
@@ -43,6 +85,7 @@
         await self._peer_server.start()
         for listener in self.listeners:
             await listener.start()
+        await self._metrics_listener.start()
         loguru.logger.info("started", step="start", address=self.host.address)
 
     async def drain(self) -> None:
@@ -52,6 +95,8 @@
         """Closes everything at once."""
         for listener in self.listeners:
             await listener.close()
+        await self._metrics_listener.close()
+        self.metrics.close()
         await self.host.close()
         await self._peer_server.close()
         self._pool.close()
@@ -59,5 +104,7 @@
 
 async def run_control(part: settings.ControlSettings) -> int:
     """Runs a log host of a forwarding deployment until SIGTERM or SIGINT."""
-    logs.configure_logs(part.name, part.log_level)
-    return await lifecycle.run_daemon(ControlDaemon(part), part.stop_timeout_s)
+    writer = logs.configure_logs(part.name, part.log_level)
+    code = await lifecycle.run_daemon(ControlDaemon(part), part.stop_timeout_s)
+    writer.close()
+    return code
--- a/src/lycheegauge/internal/daemons/engineagent.py
+++ b/src/lycheegauge/internal/daemons/engineagent.py
@@ -135,5 +135,7 @@
 
 async def run_engineagent(part: settings.EngineAgentSettings) -> int:
     """Runs the agent beside an engine until SIGTERM or SIGINT."""
-    logs.configure_logs(part.name, part.log_level)
-    return await lifecycle.run_daemon(EngineAgentDaemon(part), part.stop_timeout_s)
+    writer = logs.configure_logs(part.name, part.log_level)
+    code = await lifecycle.run_daemon(EngineAgentDaemon(part), part.stop_timeout_s)
+    writer.close()
+    return code
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -6,10 +6,10 @@
 import math
 import typing
 
-import loguru
 import tornado.httputil
 
 from lycheegauge import errors
+from lycheegauge.internal import events
 from lycheegauge.internal.coordination import (
     eventstream,
     forwardrules,
@@ -70,9 +70,20 @@
         self._refusals = 0
         self._may_have_run = False
         self._cutter: eventstream.EventCutter | None = None
+        self._server = ""
+        self._first_at: float | None = None
 
     async def run(self) -> None:
         """Forwards the request until it is answered or given up."""
+        try:
+            await self._run()
+        except asyncio.CancelledError:
+            events.write_event(
+                events.RequestCancelled(self._id, self._server, self._waited_ms)
+            )
+            raise
+
+    async def _run(self) -> None:
         refusal = await self._admit_or_wait()
         if refusal is not None:
             self._answer_refusal(refusal)
@@ -141,6 +152,10 @@
         told = self._exchange.headers.get(self._names.time_left_ms, "")
         return int(told) / 1000 if told.isascii() and told.isdigit() else math.inf
 
+    @property
+    def _waited_ms(self) -> int:
+        return round((clock.read_clock() - self._exchange.arrived_at) * 1000)
+
     @property
     def _remaining_s(self) -> float:
         return self._deadline - clock.read_clock()
@@ -169,7 +184,14 @@
             given_up = await self._attempt(chosen, connection)
             if given_up is None or not self._can_go_on(given_up):
                 return given_up
-            self._shared.metrics.count_retry(work.RetryReason.STREAM_BROKEN)
+            self._shared.metrics.count_retry(self._name_retry(given_up))
+
+    def _name_retry(self, given_up: forwardrules.GivenUp) -> work.RetryReason:
+        if given_up.reason is work.RefusalReason.BACKEND_SERVERS_FULL:
+            return work.RetryReason.BACKEND_SERVER_REFUSED
+        if self._exchange.is_started:
+            return work.RetryReason.STREAM_BROKEN
+        return work.RetryReason.BACKEND_SERVER_ERROR
 
     def _may_repeat(self) -> bool:
         budget = self._shared.get_budget(self._service)
@@ -193,6 +215,8 @@
     ) -> forwardrules.GivenUp | None:
         """Sends the request to one server; returns ``None`` once it is answered."""
         shared = self._shared
+        self._server = server.name
+        self._write_sent(server)
         shared.choice.note_sent(server.name)
         self._tried.add(server.name)
         is_complete = False
@@ -214,6 +238,7 @@
                 return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED)
             await self._pass_on(head, connection)
             is_complete = True
+            self._write_answered(head.status)
             return None
         except errors.BackendServerFailedError as error:
             self._note_failure(server, str(error))
@@ -280,12 +305,44 @@
 
     def _note_failure(self, server: roster.ServerListing, detail: str) -> None:
         out_s = self._shared.choice.note_failure(server.name, clock.read_clock())
-        loguru.logger.info(
-            "backend server failed",
-            request_id=self._id,
-            server=server.name,
-            detail=detail,
-            left_out_s=out_s,
+        events.write_event(
+            events.AttemptFailed(
+                self._id, server.name, self._may_have_run, detail, out_s
+            )
+        )
+
+    def _write_sent(self, server: roster.ServerListing) -> None:
+        shared, now = self._shared, clock.read_clock()
+        events.write_event(
+            events.RequestSent(
+                self._id,
+                self._service,
+                server.name,
+                self._runs + self._refusals + 1,
+                len(shared.view.list_usable(now)),
+                round(shared.choice.estimate(server, 1, now), 2),
+                round(now - shared.view.refreshed_at, 3),
+                shared.table_version,
+                round(shared.view.lease.ends_at - now, 3),
+                round(self._remaining_s * 1000),
+                self._cutter.last_id if self._cutter else "",
+            )
+        )
+
+    def _write_answered(self, status: int) -> None:
+        arrived_at = self._exchange.arrived_at
+        first_s = (self._first_at or clock.read_clock()) - arrived_at
+        self._shared.metrics.record_first_token(first_s)
+        self._shared.metrics.record_total(clock.read_clock() - arrived_at)
+        events.write_event(
+            events.RequestAnswered(
+                self._id,
+                self._server,
+                status,
+                round(first_s * 1000),
+                self._waited_ms,
+                self._runs,
+            )
         )
 
     # Answers.
@@ -354,6 +411,7 @@
         made = tornado.httputil.HTTPHeaders()
         for name, text in headers.pass_on_headers(head.headers):
             made.add(name, text)
+        self._first_at = clock.read_clock()
         self._exchange.start(head.status, head.reason, made)
 
     def _give_up(
@@ -366,14 +424,14 @@
     def _end(self, given_up: forwardrules.GivenUp) -> None:
         """Ends a request that is given up."""
         if self._exchange.is_started:
-            self._log_end(given_up, "broken off")
+            self._write_given_up(given_up, 0)
             self._shared.metrics.count_refusal(given_up.reason)
             self._exchange.abort()
         else:
             self._answer_refusal(given_up)
 
     def _answer_refusal(self, given_up: forwardrules.GivenUp) -> None:
-        self._log_end(given_up, "given up")
+        self._write_given_up(given_up, given_up.status)
         self._shared.metrics.count_refusal(given_up.reason)
         if self._exchange.is_gone:
             return
@@ -385,15 +443,20 @@
         body = json.dumps(document).encode() + b"\n"
         self._exchange.answer(given_up.status, reason, body, fields)
 
-    def _log_end(self, given_up: forwardrules.GivenUp, outcome: str) -> None:
-        loguru.logger.info(
-            f"request {outcome}",
-            request_id=self._id,
-            reason=given_up.reason.value,
-            status=given_up.status,
-            service=self._service,
-            runs=self._runs,
-            refusals=self._refusals,
-            detail=given_up.detail,
-            lease_left_s=round(self._shared.view.lease.ends_at - clock.read_clock(), 3),
+    def _write_given_up(self, given_up: forwardrules.GivenUp, status: int) -> None:
+        shared = self._shared
+        events.write_event(
+            events.RequestGivenUp(
+                self._id,
+                given_up.reason.value,
+                status,
+                given_up.retry_after_s,
+                self._runs,
+                self._refusals,
+                self._waited_ms,
+                self._service,
+                shared.table_version,
+                round(shared.view.lease.ends_at - clock.read_clock(), 3),
+                given_up.detail,
+            )
         )
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -11,7 +11,6 @@
 from lycheegauge import metrics, settings
 from lycheegauge.internal.coordination import (
     coldramp,
-    crashes,
     forwardrules,
     repeatbudget,
     rosterview,
@@ -75,7 +74,6 @@
         self.chance = random.Random()
         self.choice = serverchoice.ServerChoice(self.chance)
         self.ramp = coldramp.ColdRamp()
-        self.quarantine = crashes.QuarantineView()
         self.stopping = False
         self._is_changed = asyncio.Event()
         self._waiting_for_news = 0
@@ -129,6 +127,14 @@
             self._is_changed = asyncio.Event()
         if "table" in changed and self.view.table is not None:
             self._take_table(self.view.table)
+        if "restrictions" in changed:
+            restrictions = self.view.restrictions
+            loguru.logger.info(
+                "restrictions in force",
+                revision=restrictions.revision,
+                zones_out=restrictions.zones_out,
+                departures=len(restrictions.departures),
+            )
         if "roster" in changed:
             self.choice.keep_only(self.view.servers)
             self.sweep()
@@ -151,6 +157,11 @@
         self._settled_at = min(self._settled_at, clock.read_clock() + SETTLING_TIME_S)
         loguru.logger.info("route table in force", version=document.version)
 
+    @property
+    def table_version(self) -> int:
+        """The version of the route table in force; 0 for none."""
+        return self.index.table.version if self.index else 0
+
     @property
     def host_count(self) -> int:
         """How many entry hosts share what is limited over all of them."""
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -7,7 +7,12 @@
 from lycheegauge import errors, metrics, settings
 from lycheegauge.internal import logs
 from lycheegauge.internal.coordination import members, rosterview
-from lycheegauge.internal.daemons import forwarder, lifecycle, rosterclient
+from lycheegauge.internal.daemons import (
+    forwarder,
+    lifecycle,
+    metricslistener,
+    rosterclient,
+)
 from lycheegauge.internal.protocol import controlcalls, roster
 from lycheegauge.internal.transport import clock, controlapi, ingress, peers, web
 
@@ -45,10 +50,37 @@
             controlapi.make_application(self._answer_readiness, part.limits),
             part.limits,
         )
+        self._metrics_listener = metricslistener.MetricsListener(
+            part.metrics_address, self.metrics, part.limits
+        )
+        self._observe()
         self.caller_address = part.caller_address
         self._tasks: list[asyncio.Task[None]] = []
         self._is_in_touch = False
 
+    def _observe(self) -> None:
+        """Exports what this host holds and believes now."""
+        self.metrics.observe(
+            "lycheegauge_requests_running",
+            "Requests under way",
+            lambda: len(self.forwarder.running),
+        )
+        self.metrics.observe(
+            "lycheegauge_lease_left",
+            "Seconds until this host stops serving without news",
+            lambda: self.view.lease.ends_at - clock.read_clock(),
+        )
+        self.metrics.observe(
+            "lycheegauge_usable_backend_servers",
+            "Backend servers that may get new work",
+            lambda: len(self.view.list_usable(clock.read_clock())),
+        )
+        self.metrics.observe(
+            "lycheegauge_entry_hosts",
+            "Entry hosts that share what is limited over all",
+            lambda: self.forwarder.host_count,
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether this host can serve callers now."""
@@ -64,6 +96,7 @@
         """
         self.caller_address = await self._callers.start()
         await self._readiness.start()
+        await self._metrics_listener.start()
         for loop in (self._keep_pulling, self._keep_sweeping):
             self._tasks.append(asyncio.create_task(loop()))
         loguru.logger.info("started", step="start", caller_address=self.caller_address)
@@ -86,6 +119,7 @@
         await self.forwarder.close()
         await self._callers.close()
         await self._readiness.close()
+        await self._metrics_listener.close()
         self._pool.close()
         self.metrics.close()
 
@@ -129,9 +163,6 @@
         self.forwarder.take_changes(changed)
         if reply.proof is not None:
             self.forwarder.choice.note_others(reply.open_elsewhere, clock.read_clock())
-        if reply.quarantine is not None:
-            self.view.quarantine_version = reply.quarantine.version
-            self.forwarder.quarantine.take(reply.quarantine)
         is_led = reply.proof is not None
         self._note_contact(is_led, asked, "the host asked does not lead")
         return is_led
@@ -153,5 +184,7 @@
 
 async def run_gateway(part: settings.GatewaySettings) -> int:
     """Runs a forwarding entry host until SIGTERM or SIGINT."""
-    logs.configure_logs(part.name, part.log_level)
-    return await lifecycle.run_daemon(GatewayDaemon(part), part.stop_timeout_s)
+    writer = logs.configure_logs(part.name, part.log_level)
+    code = await lifecycle.run_daemon(GatewayDaemon(part), part.stop_timeout_s)
+    writer.close()
+    return code
--- a/src/lycheegauge/internal/daemons/local.py
+++ b/src/lycheegauge/internal/daemons/local.py
@@ -15,6 +15,7 @@
 import pathlib
 import random
 import socket
+import sys
 import tempfile
 import typing
 
@@ -244,7 +245,7 @@
 
 async def run_local(stay: bool) -> int:
     """Runs the demonstration and prints it."""
-    logs.configure_logs("local", "WARNING")
+    logs.configure_logs("local", "WARNING", sys.stderr)
     with tempfile.TemporaryDirectory(prefix="lycheegauge-") as folder:
         system = LocalSystem(pathlib.Path(folder), Shape())
         await system.start()
--- a/src/lycheegauge/internal/daemons/rosterclient.py
+++ b/src/lycheegauge/internal/daemons/rosterclient.py
@@ -3,13 +3,12 @@
 import loguru
 
 from lycheegauge import errors, settings
-from lycheegauge.internal.protocol import changes, roster
+from lycheegauge.internal.protocol import roster
 from lycheegauge.internal.protocol.generated import services_grpc
 from lycheegauge.internal.transport import peers
 
 PULL_TIMEOUT_S = 0.8
 QUESTION_TIMEOUT_S = 0.5
-REPORT_TIMEOUT_S = 1.0
 MAX_HOSTS = 16
 """Addresses that are remembered; the oldest but the seeds go first."""
 
@@ -117,18 +116,3 @@
         known = dict.fromkeys([*answer.log_hosts, *self._seeds, *self.hosts])
         self.hosts = [host for host in known if host != self._own_address][:MAX_HOSTS]
         return answer
-
-    async def report_crash(self, crash: changes.ReportCrash) -> None:
-        """Tells the leader of a crash.
-
-        Raises:
-            errors.PeerUnreachableError: The host gave no answer in time.
-        """
-        await self._pool.call(
-            self.address,
-            "report crash",
-            lambda channel: services_grpc.RosterHostStub(channel).TakeCrash,
-            crash,
-            REPORT_TIMEOUT_S,
-            drop_on_failure=True,
-        )
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -1,7 +1,6 @@
 """A log host of a forwarding deployment: one replica, the book, the proofs."""
 
 import asyncio
-import dataclasses
 import random
 import typing
 import uuid
@@ -14,7 +13,6 @@
 from lycheegauge.internal.coordination import leases, rosterbook, rosterview
 from lycheegauge.internal.coordination.agreement import timing
 from lycheegauge.internal.daemons import (
-    logclock,
     mapcoordination,
     replicasender,
     replication,
@@ -22,15 +20,13 @@
 )
 from lycheegauge.internal.protocol import (
     agreement,
-    changes,
     controlcalls,
     freshness,
-    proposals,
     roster,
     routetables,
 )
 from lycheegauge.internal.protocol.generated import services_grpc
-from lycheegauge.internal.state import journal, machine, quarantine, routing
+from lycheegauge.internal.state import journal, machine, routing
 from lycheegauge.internal.transport import clock, peers
 
 FIRST_DISK_ID = "first"
@@ -87,7 +83,6 @@
         )
         self._book = rosterbook.RosterBook("", self._lifetimes)
         self._book_term = 0
-        self._log_clock = logclock.LogClock()
         self.view = rosterview.RosterView(part.roster.lease_s)
         self._client = rosterclient.RosterClient(pool, self._seeds, self.address)
         self._tasks: list[asyncio.Task[None]] = []
@@ -139,12 +134,6 @@
         """The routing state that this replica applied."""
         return typing.cast(routing.RoutingPart, self.machine.parts["routing"])
 
-    @property
-    def quarantine(self) -> freshness.Quarantine:
-        """The quarantine that this replica applied."""
-        part = typing.cast(quarantine.QuarantineList, self.machine.parts["quarantine"])
-        return part.current
-
     @property
     def leader_address(self) -> str:
         """The address of the leader that this replica follows, or empty."""
@@ -220,9 +209,6 @@
         restrictions: roster.Restrictions | None = state.restrictions
         if state.restrictions.revision <= question.restrictions_revision:
             restrictions = None
-        quarantined: freshness.Quarantine | None = self.quarantine
-        if self.quarantine.version <= question.quarantine_version:
-            quarantined = None
         elsewhere: tuple[roster.OpenRequests, ...] = ()
         if question.host is not None:
             elsewhere = self._book.list_open_elsewhere(question.host.name)
@@ -231,7 +217,6 @@
             *hints,
             table,
             restrictions,
-            quarantined,
             self._book.source,
             news.cursor,
             news.whole,
@@ -264,16 +249,6 @@
             done = agreement.ReadDone(read_id, 0, str(outcome.failure()))
         self._issuer.finish_read(done)
 
-    async def take_crash(self, crash: changes.ReportCrash) -> proposals.Received:
-        """Records a crash, if this replica leads; the reporter repeats it if not."""
-        stamped = dataclasses.replace(crash, log_time_s=self.read_log_time())
-        await self.task.propose(stamped)
-        return proposals.Received()
-
-    def read_log_time(self) -> float:
-        """Returns seconds that grow with the log's age, for forgetting crashes."""
-        return self._log_clock.read(0.0, clock.read_clock())
-
     async def relay(self, call: roster.RelayedCall) -> roster.RelayedAnswer:
         """Hands a control call to the leader; status 0 if there is none.
 
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -94,7 +94,6 @@
     host: HostListing | None
     table_version: int
     restrictions_revision: int
-    quarantine_version: int
     source: str
     cursor: int
     open_requests: tuple[OpenRequests, ...] = ()
@@ -112,7 +111,6 @@
     log_hosts: tuple[str, ...]
     table: RouteDocument | None = None
     restrictions: Restrictions | None = None
-    quarantine: freshness.Quarantine | None = None
     source: str = ""
     cursor: int = 0
     whole: bool = False
--- a/src/lycheegauge/internal/transport/controlapi.py
+++ b/src/lycheegauge/internal/transport/controlapi.py
@@ -19,6 +19,7 @@
 
     status: int
     body: bytes = b""
+    content_type: str = "application/json"
 
 
 Handler = collections.abc.Callable[[str, str, bytes], collections.abc.Awaitable[Answer]]
@@ -53,7 +54,7 @@
         method, target = str(self.request.method), str(self.request.uri)
         answer = await self._handle(method, target, bytes(self.collected))
         self.set_status(answer.status)
-        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Type", answer.content_type)
         await self.finish(answer.body)
 
     def write_problem(self, status: int, detail: str) -> None:
--- a/src/lycheegauge/internal/transport/services.py
+++ b/src/lycheegauge/internal/transport/services.py
@@ -60,13 +60,11 @@
         pull: peers.Handler,
         relay: peers.Handler,
         list_log_hosts: peers.Handler,
-        take_crash: peers.Handler,
     ) -> None:
         self._deliver = deliver
         self._pull = pull
         self._relay = relay
         self._list_log_hosts = list_log_hosts
-        self._take_crash = take_crash
 
     async def Deliver(self, stream: typing.Any) -> None:  # noqa: N802
         """Takes messages of the replicated log."""
@@ -84,10 +82,6 @@
         """Tells who the log hosts are."""
         await peers.answer_unary(stream, self._list_log_hosts)
 
-    async def TakeCrash(self, stream: typing.Any) -> None:  # noqa: N802
-        """Takes news of a crash."""
-        await peers.answer_unary(stream, self._take_crash)
-
 
 async def receive_batch(stream: typing.Any, deliver: peers.Handler) -> None:
     """Hands on each message of a batch and acknowledges the batch."""
--- a/src/lycheegauge/metrics.py
+++ b/src/lycheegauge/metrics.py
@@ -1,6 +1,9 @@
 """Metrics by OpenTelemetry: a counter for each refusal and retry reason."""
 
+import collections.abc
+
 import opentelemetry.exporter.prometheus
+import opentelemetry.metrics
 import opentelemetry.sdk.metrics
 import prometheus_client
 
@@ -33,6 +36,10 @@
         self._first_token = meter.create_histogram(
             "lycheegauge_first_token", unit="s", description="Time to first token"
         )
+        self._total = meter.create_histogram(
+            "lycheegauge_total", unit="s", description="Time to the answer's end"
+        )
+        self._meter = meter
         for refusal_reason in work.RefusalReason:
             self._refusals.add(0, {"reason": refusal_reason.value})
         for retry_reason in work.RetryReason:
@@ -54,6 +61,23 @@
         """Records the time from a request's arrival to its first token."""
         self._first_token.record(seconds)
 
+    def record_total(self, seconds: float) -> None:
+        """Records the time from a request's arrival to the end of its answer."""
+        self._total.record(seconds)
+
+    def observe(
+        self,
+        name: str,
+        description: str,
+        read: collections.abc.Callable[[], float],
+    ) -> None:
+        """Exports a value that is read whenever somebody asks."""
+        self._meter.create_observable_gauge(
+            name,
+            [lambda _: [opentelemetry.metrics.Observation(read())]],
+            description=description,
+        )
+
     def export(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         exported: bytes = prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/tests/steps/logs.py
@@ -0,0 +1,174 @@
+import dataclasses
+import inspect
+import io
+import json
+import pathlib
+import tempfile
+import threading
+import time
+import typing
+
+import behave
+import loguru
+
+from lycheegauge.internal import events, logs, traces
+from lycheegauge.internal.daemons import forwardedrequest
+
+
+class StalledStream(io.StringIO):
+    """Blocks in its first write until it is let go."""
+
+    def __init__(self):
+        super().__init__()
+        self.go = threading.Event()
+
+    def write(self, text):
+        self.go.wait()
+        return super().write(text)
+
+
+def write_lines(writer, kind, count, **fields):
+    loguru.logger.remove()
+    loguru.logger.add(writer.write, level="INFO", format="{message}")
+    for _ in range(count):
+        loguru.logger.info(kind, **fields)
+
+
+@behave.then("lines beyond the queue are dropped and counted while the reader stalls")
+def check_stalled(context):
+    stream = StalledStream()
+    budget = logs.LineBudget(lambda: 0.0)
+    budget.take = lambda kind, is_usual: True
+    writer = logs.LineWriter(stream, budget)
+    writer.start()
+    began = time.monotonic()
+    write_lines(writer, "request given up", logs.QUEUE_LINES + 500)
+    assert time.monotonic() - began < 5.0, "writing waited for the reader"
+    dropped = budget.take_omitted()["request given up"]
+    stream.go.set()
+    writer.close(5.0)
+    written = stream.getvalue().count("\n")
+    assert written + dropped == logs.QUEUE_LINES + 500
+    assert dropped >= 499
+
+
+@behave.then("a flood of one kind leaves the others and is counted")
+def check_budget(context):
+    clock = {"now": 0.0}
+    budget = logs.LineBudget(lambda: clock["now"])
+    most = logs.USUAL_LINES_PER_S * logs.BURST_S
+    taken = sum(budget.take("request sent", True) for _ in range(5000))
+    assert taken == most
+    assert budget.take("request given up", False)
+    assert budget.take_omitted() == {"request sent": 5000 - most}
+    assert budget.take_omitted() == {}
+    clock["now"] = 1.0
+    taken = sum(budget.take("request sent", True) for _ in range(5000))
+    assert taken == logs.USUAL_LINES_PER_S
+
+
+def list_events():
+    return [
+        value
+        for value in vars(events).values()
+        if inspect.isclass(value)
+        and issubclass(value, events.Event)
+        and value is not events.Event
+    ]
+
+
+@behave.then("every event names its request and has a documented type for each field")
+def check_catalogue(context):
+    meanings = {}
+    for event in list_events():
+        hints = typing.get_type_hints(event)
+        names = [field.name for field in dataclasses.fields(event)]
+        assert names[0] == "request_id"
+        for name in names[1:]:
+            assert f"{name}:" in event.__doc__, f"{event.__name__}.{name}"
+            assert meanings.setdefault(name, hints[name]) is hints[name], name
+            assert hints[name] in (str, int, float, bool)
+
+
+@behave.then("every way in which a forwarded request ends writes an event")
+def check_endings(context):
+    source = inspect.getsource(forwardedrequest)
+    for event in list_events():
+        assert f"events.{event.__name__}(" in source, f"{event.__name__} is not written"
+    request = forwardedrequest.ForwardedRequest
+    # Each of these ends a request; a new one must write its event too.
+    for ending, event in {
+        "_answer_refusal": "_write_given_up",
+        "_end": "_write_given_up",
+        "_attempt": "_write_answered",
+        "run": "RequestCancelled",
+    }.items():
+        assert event in inspect.getsource(getattr(request, ending)), ending
+    finishing = [
+        name
+        for name, method in vars(request).items()
+        if inspect.isfunction(method)
+        and any(
+            call in inspect.getsource(method)
+            for call in ("_exchange.finish(", "_exchange.abort(", "_exchange.answer(")
+        )
+    ]
+    assert sorted(finishing) == [
+        "_answer_refusal", "_end", "_pass_on_events", "_pass_on_parts",
+        "_pass_on_plain",
+    ], finishing  # fmt: skip
+
+
+def make_line(second, process, message, **fields):
+    return json.dumps(
+        {"time": f"2026-01-01T00:00:{second:06.3f}+00:00", "level": "INFO",
+         "message": message, "process": process, **fields}
+    )  # fmt: skip
+
+
+def write_files():
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="lycheegauge-test-"))
+    entry, other, leader = (folder / name for name in ("entry", "other", "leader"))
+    entry.write_text(
+        "\n".join(
+            [
+                "   1.2 entry-1 "
+                + make_line(10.0, "entry-1", "request sent", request_id="r1"),
+                "no log line {",
+                make_line(9.0, "entry-1", "route table in force", version=4),
+                make_line(1.0, "entry-1", "route table in force", version=3),
+                make_line(
+                    10.5, "entry-1", "request given up", request_id="r1",
+                    reason="backend_server_failed",
+                ),
+                make_line(
+                    10.7, "entry-1", "request given up", request_id="r2",
+                    reason="lease_expired",
+                ),
+            ]
+        )
+    )  # fmt: skip
+    other.write_text(make_line(10.2, "entry-2", "request sent", request_id="r1"))
+    leader.write_text(make_line(10.1, "control-1", "committed", change="x"))
+    return [entry, other, leader]
+
+
+@behave.then("the trace of a request tells its lines and beliefs in order")
+def check_trace(context):
+    story = traces.tell_request("r1", traces.read_lines(write_files()))
+    told = [line.strip().split("  ") for line in story]
+    assert [(item[1], item[2]) for item in told] == [
+        ("entry-1", "route table in force"), ("entry-1", "request sent"),
+        ("entry-2", "request sent"), ("entry-1", "request given up"),
+    ], story  # fmt: skip
+    assert "+0 ms" in story[1] and "+500 ms" in story[3] and "-1000 ms" in story[0]
+    assert traces.tell_request("unknown", traces.read_lines(write_files())) == []
+
+
+@behave.then("reasons are counted by second")
+def check_reasons(context):
+    counted = traces.count_reasons(traces.read_lines(write_files()))
+    assert [line.split()[1:] for line in counted] == [
+        ["1", "backend_server_failed"],
+        ["1", "lease_expired"],
+    ]
--- a/tests/steps/roster.py
+++ b/tests/steps/roster.py
@@ -31,7 +31,7 @@
     news = book.list_changes(pull.message.source, pull.message.cursor)
     return roster.RosterReply(
         freshness.Proof(1, 0.0, 0.0) if proof else None,
-        "10.0.0.9:1", (), None, restrictions, None, book.source,
+        "10.0.0.9:1", (), None, restrictions, book.source,
         news.cursor, news.whole, news.servers, news.servers_gone, news.hosts,
         news.hosts_gone,
     )  # fmt: skip
