Refuse what would start too late; call an engine whose agent is silent

An agent that is silent for 0.3 s is passed over; its engine is called directly. 2. A request that must wait over a quarter of its target for a slot is refused with the time at which one is free. Copies of experts are weighed by the pass: RELAXED_SHARE 0.55.

--- a/src/lycheegauge/internal/coordination/serverchoice.py
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -75,7 +75,11 @@
         if not candidates:
             return None
         drawn = self._chance.sample(candidates, min(SERVERS_DRAWN, len(candidates)))
-        return min(drawn, key=lambda server: self.estimate(server, slots, now))
+        best = min(drawn, key=lambda server: self.estimate(server, slots, now))
+        if self.estimate(best, slots, now) < 1.0:
+            return best
+        # A queue there would be in vain while another server has a free slot.
+        return min(candidates, key=lambda server: self.estimate(server, slots, now))
 
     def estimate(self, server: roster.ServerListing, slots: int, now: float) -> float:
         """Estimates the share of a server's slots that is busy; over 1 is a queue."""
--- a/src/lycheegauge/internal/daemons/engineagent.py
+++ b/src/lycheegauge/internal/daemons/engineagent.py
@@ -3,26 +3,13 @@
 It decides nothing and keeps nothing, so that it can be lost at any moment.
 """
 
-import asyncio
-
 import loguru
-from returns import result
 
-from lycheegauge import errors, settings
+from lycheegauge import settings
 from lycheegauge.internal import logs
-from lycheegauge.internal.daemons import lifecycle
-from lycheegauge.internal.protocol import enginedialects, maporders
-from lycheegauge.internal.transport import peers, services, upstream
-
-ENGINE_TIMEOUT_S = 0.25
-"""The engine is on the same host; a later answer means that it gives none."""
-
-OUTCOMES = {
-    200: maporders.MapOrderOutcome.DONE,
-    202: maporders.MapOrderOutcome.BEGUN,
-    409: maporders.MapOrderOutcome.CONFLICT,
-    412: maporders.MapOrderOutcome.FENCED,
-}
+from lycheegauge.internal.daemons import engineclient, lifecycle
+from lycheegauge.internal.protocol import enginedialects
+from lycheegauge.internal.transport import peers, services
 
 
 class EngineAgentDaemon:
@@ -30,9 +17,9 @@
 
     def __init__(self, part: settings.EngineAgentSettings) -> None:
         self._part = part
-        self._dialect = enginedialects.get_dialect(part.dialect)
-        self._pool = upstream.ConnectionPool()
-        service = services.EngineAgentService(self.observe, self.order)
+        dialect = enginedialects.get_dialect(part.dialect)
+        self._client = engineclient.EngineClient(dialect, part.engine_address)
+        service = services.EngineAgentService(self._client.observe, self._client.order)
         self._server = peers.PeerServer(part.peer_address, [service])
 
     async def start(self) -> None:
@@ -52,85 +39,7 @@
     async def close(self) -> None:
         """Closes everything at once."""
         await self._server.close()
-        self._pool.close()
-
-    async def observe(
-        self, question: maporders.EngineQuestion
-    ) -> maporders.EngineReport:
-        """Reads the engine's state.
-
-        Raises:
-            errors.LycheegaugeError: The engine gives no readable answer.
-        """
-        _, report = await self._call(self._dialect.ask_report())
-        counts = b""
-        if question.counts:
-            _, counts = await self._call(self._dialect.ask_counts())
-        experts = b""
-        if question.experts:
-            _, experts = await self._call(self._dialect.ask_experts())
-        read = self._dialect.read_report(report, counts, experts)
-        if isinstance(read, result.Failure):
-            raise read.failure()
-        return read.unwrap()
-
-    async def order(self, order: maporders.MapOrder) -> maporders.MapOrderReply:
-        """Passes an order on; silence or a break leaves its outcome open."""
-        try:
-            status, _ = await self._call(self._dialect.write_order(order))
-            outcome = OUTCOMES.get(status, maporders.MapOrderOutcome.REFUSED)
-        except errors.LycheegaugeError as error:
-            loguru.logger.info(
-                "the engine did not answer an order",
-                kind=order.kind.value,
-                fence=order.fence,
-                detail=str(error),
-            )
-            outcome = maporders.MapOrderOutcome.UNANSWERED
-        return maporders.MapOrderReply(outcome)
-
-    async def _call(self, call: enginedialects.EngineCall) -> tuple[int, bytes]:
-        """Calls the engine.
-
-        Raises:
-            errors.PeerUnreachableError: There was no answer in time.
-            errors.BackendServerFailedError: The answer broke off.
-        """
-        address = self._part.engine_address
-        try:
-            async with asyncio.timeout(ENGINE_TIMEOUT_S):
-                return await self._exchange(address, call)
-        except TimeoutError as error:
-            message = "the engine gave no answer in time"
-            raise errors.PeerUnreachableError(message, "ask", address) from error
-
-    async def _exchange(
-        self, address: str, call: enginedialects.EngineCall
-    ) -> tuple[int, bytes]:
-        connection = await self._pool.open(address, address)
-        is_complete = False
-        try:
-            fields: tuple[tuple[str, str], ...] = (("Host", address),)
-            if call.body:
-                fields += (
-                    ("Content-Type", "application/json"),
-                    ("Content-Length", str(len(call.body))),
-                )
-            method = "POST" if call.body else "GET"
-            connection.send(
-                upstream.RequestHead(method, call.target, fields), call.body
-            )
-            head = await connection.read_head()
-            body = bytearray()
-            while part := await connection.read_body():
-                body += part
-            is_complete = True
-            return head.status, bytes(body)
-        finally:
-            if is_complete:
-                self._pool.give_back(address, connection)
-            else:
-                connection.abort()
+        self._client.close()
 
 
 async def run_engineagent(part: settings.EngineAgentSettings) -> int:
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -164,12 +164,17 @@
 
     async def _forward(self) -> forwardrules.GivenUp | None:
         """Tries servers until one answers; returns why none did."""
+        assert self._route is not None
         connect_failures = 0
         while True:
             chosen = self._shared.choose_server(self._service, self._tried)
             if isinstance(chosen, forwardrules.GivenUp):
                 return self._give_up(chosen.reason)
-            if self._runs + self._refusals and not self._may_repeat():
+            if not self._runs + self._refusals:
+                refusal = self._shared.check_wait(self._route, self._service, chosen)
+                if refusal is not None:
+                    return refusal
+            elif not self._may_repeat():
                 return self._give_up(work.RefusalReason.RETRY_BUDGET_SPENT)
             try:
                 connection = await self._shared.pool.open(
@@ -220,6 +225,7 @@
         shared.choice.note_sent(server.name)
         self._tried.add(server.name)
         is_complete = False
+        sent_at = clock.read_clock()
         try:
             connection.send(self._make_head(server), self._exchange.body)
             was_run, self._may_have_run = self._may_have_run, True
@@ -239,6 +245,8 @@
             await self._pass_on(head, connection)
             is_complete = True
             self._write_answered(head.status)
+            served_s = clock.read_clock() - sent_at
+            shared.get_forecast(self._service).note_served(served_s)
             return None
         except errors.BackendServerFailedError as error:
             self._note_failure(server, str(error))
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -16,6 +16,7 @@
     rosterview,
     routeindex,
     serverchoice,
+    waitforecast,
 )
 from lycheegauge.internal.daemons import forwardedrequest
 from lycheegauge.internal.protocol import (
@@ -80,6 +81,7 @@
         self._settled_at = math.inf
         self.running: set[asyncio.Task[None]] = set()
         self._budgets: dict[str, repeatbudget.RepeatBudget] = {}
+        self._forecasts: dict[str, waitforecast.WaitForecast] = {}
 
     def handle(self, exchange: ingress.Exchange) -> None:
         """Starts the forwarding of one request."""
@@ -176,6 +178,30 @@
             )
         return self._budgets[service]
 
+    def get_forecast(self, service: str) -> waitforecast.WaitForecast:
+        """Returns the forecast of a service's waits."""
+        return self._forecasts.setdefault(service, waitforecast.WaitForecast())
+
+    def check_wait(
+        self, route: routetables.Route, service: str, server: roster.ServerListing
+    ) -> forwardrules.GivenUp | None:
+        """Refuses a first attempt that would start too late; the rest may wait."""
+        assert self.index is not None
+        slots = server.slots or self.index.services[service].slots
+        if not slots:
+            return None
+        busy = self.choice.estimate(server, slots, clock.read_clock())
+        wait_s = self.get_forecast(service).predict_wait(busy, slots)
+        after_s = waitforecast.find_return_time(wait_s, route.target_first_s)
+        if after_s is None:
+            return None
+        return forwardrules.give_up(
+            work.RefusalReason.OVERLOADED,
+            work.RunState.NOT_RUN,
+            after_s,
+            f"a slot is free in {wait_s:.2f} s at the least busy server",
+        )
+
     def has_server(self, service: str) -> bool:
         """Tells whether any server of a service may get work."""
         usable = self.view.list_usable(clock.read_clock())
--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -3,12 +3,19 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 
 import loguru
 
 from lycheegauge import errors
 from lycheegauge.internal.coordination.groups import demand, evenshares, mapswitch
-from lycheegauge.internal.protocol import maporders, roster, routetables
+from lycheegauge.internal.daemons import engineclient
+from lycheegauge.internal.protocol import (
+    enginedialects,
+    maporders,
+    roster,
+    routetables,
+)
 from lycheegauge.internal.protocol.generated import services_grpc
 from lycheegauge.internal.transport import clock, peers
 
@@ -21,19 +28,28 @@
 ARM_INTERVAL_S = 0.005
 """While a pass may be held the next look follows at once."""
 
-OBSERVE_TIMEOUT_S = 0.5
-ORDER_TIMEOUT_S = 0.5
+AGENT_TIMEOUT_S = 0.3
+"""An agent that gives no answer for so long is passed over. Its engine is then
+called from here, which costs more but does not leave a held group waiting."""
 
-LEAST_GAIN = 0.15
-"""A switch must shorten the slowest ranks' part of a pass by this fraction: it
-slows the group down while it copies, and the estimate is noisy."""
+SILENCE_S = 5.0
+"""An agent that was passed over is asked again after so long."""
 
-RELAXED_SHARE = 0.4
+RELAXED_SHARE = 0.55
 """Part of the longest pause on time that a pass may take before users notice."""
 
+RELAXED_GAIN = 0.15
+"""Fraction by which a switch must shorten the slowest ranks' part of a pass when a
+pass takes just that long. It falls with the square of the pass: a loaded group
+queues more for each ms, and an idle one gains nothing that anybody notices."""
+
+GAIN_MIN = 0.08
+"""The estimate of the demand is not better than this."""
+
+GAIN_MAX = 0.5
+
 RELAXED_GAIN_PER_COPY = 0.008
-"""Gain that each copied expert must bring when a pass takes just that long. It
-falls with the square of the pass: a loaded group queues more for each ms."""
+"""Gain that each copied expert must bring likewise."""
 
 GAIN_PER_COPY_MIN = 0.002
 """Even a crowded group copies no expert for less: copying slows it down too."""
@@ -71,13 +87,28 @@
         term: The leadership's term, which fences its orders.
         pool: The channels to the agents.
         agent_port: The port on which agents listen, beside their engines.
+        dialect: The engines' words, for those whose agent is silent.
     """
 
-    def __init__(self, term: int, pool: peers.ChannelPool, agent_port: int) -> None:
+    def __init__(
+        self,
+        term: int,
+        pool: peers.ChannelPool,
+        agent_port: int,
+        dialect: enginedialects.EngineDialect,
+    ) -> None:
         self._term = term
         self._pool = pool
         self._agent_port = agent_port
+        self._dialect = dialect
         self._groups: dict[str, _Group] = {}
+        self._engines: dict[str, engineclient.EngineClient] = {}
+        self._silent_until: dict[str, float] = {}
+
+    def close(self) -> None:
+        """Closes the connections to engines."""
+        for engine in self._engines.values():
+            engine.close()
 
     async def run_round(
         self,
@@ -96,7 +127,7 @@
             When the next look is due, in seconds from now.
         """
         assert service.experts is not None
-        addresses = {server.name: self._locate(server) for server in servers}
+        addresses = {server.name: server.address for server in servers}
         is_unknown = any(not group.placements for group in self._groups.values())
         reports = await self._observe(
             addresses, maporders.EngineQuestion(counts=True, experts=is_unknown)
@@ -114,10 +145,26 @@
             waits.append(_choose_wait(group.switch.phase))
         return min(waits)
 
-    def _locate(self, server: roster.ServerListing) -> str:
-        host, _ = peers.split_address(server.address)
+    def _locate_agent(self, engine_address: str) -> str:
+        host, _ = peers.split_address(engine_address)
         return f"{host}:{self._agent_port}"
 
+    def _get_engine(self, address: str) -> engineclient.EngineClient:
+        if address not in self._engines:
+            self._engines[address] = engineclient.EngineClient(self._dialect, address)
+        return self._engines[address]
+
+    def _is_agent_silent(self, address: str) -> bool:
+        return clock.read_clock() < self._silent_until.get(address, 0.0)
+
+    def _note_silence(self, address: str, error: errors.LycheegaugeError) -> None:
+        self._silent_until[address] = clock.read_clock() + SILENCE_S
+        loguru.logger.warning(
+            "an agent is silent, its engine is called from here",
+            engine=address,
+            detail=str(error),
+        )
+
     async def _observe(
         self, addresses: dict[str, str], question: maporders.EngineQuestion
     ) -> dict[str, maporders.EngineReport]:
@@ -133,18 +180,30 @@
     async def _ask(
         self, address: str, question: maporders.EngineQuestion
     ) -> maporders.EngineReport | None:
+        if not self._is_agent_silent(address):
+            try:
+                return await self._ask_agent(address, question)
+            except errors.PeerUnreachableError as error:
+                self._note_silence(address, error)
         try:
-            report: maporders.EngineReport = await self._pool.call(
-                address,
-                "observe engine",
-                lambda channel: services_grpc.EngineAgentStub(channel).Observe,
-                question,
-                OBSERVE_TIMEOUT_S,
-                drop_on_failure=True,
-            )
-        except errors.PeerUnreachableError as error:
+            # Counts cost much from afar; the other ranks' serve for a while.
+            asked = maporders.EngineQuestion(counts=False, experts=question.experts)
+            return await self._get_engine(address).observe(asked)
+        except errors.LycheegaugeError as error:
             loguru.logger.debug(str(error), step="observe", peer=address)
             return None
+
+    async def _ask_agent(
+        self, address: str, question: maporders.EngineQuestion
+    ) -> maporders.EngineReport:
+        report: maporders.EngineReport = await self._pool.call(
+            self._locate_agent(address),
+            "observe engine",
+            lambda channel: services_grpc.EngineAgentStub(channel).Observe,
+            question,
+            AGENT_TIMEOUT_S,
+            drop_on_failure=True,
+        )
         return report
 
     def _get_group(self, name: str) -> _Group:
@@ -229,10 +288,10 @@
         paces = [reports[rank].pace for rank in sorted(reports)]
         if len(paces) != len(group.placements[0]):
             return False
-        relaxed_s = RELAXED_SHARE * target_gap_s
-        pressure = max(group.pass_s, 1e-3) / relaxed_s
-        least = RELAXED_GAIN_PER_COPY / (pressure * pressure)
-        per_copy = min(GAIN_PER_COPY_MAX, max(GAIN_PER_COPY_MIN, least))
+        ease = math.pow(RELAXED_SHARE * target_gap_s / max(group.pass_s, 1e-3), 2)
+        per_copy = RELAXED_GAIN_PER_COPY * ease
+        per_copy = min(GAIN_PER_COPY_MAX, max(GAIN_PER_COPY_MIN, per_copy))
+        least_gain = min(GAIN_MAX, max(GAIN_MIN, RELAXED_GAIN * ease))
         bounds = evenshares.PlacementBounds(experts.slots, experts.copies, per_copy)
         planned = [
             evenshares.plan_layer(placement, layer, paces, bounds)
@@ -240,7 +299,7 @@
         ]
         before = _measure(group.placements, loads, paces)
         after = _measure(planned, loads, paces)
-        if after > before * (1.0 - LEAST_GAIN):
+        if after > before * (1.0 - least_gain):
             return False
         group.target = planned
         even = sum(map(sum, loads)) / len(paces)
@@ -276,17 +335,20 @@
     async def _order(
         self, address: str, order: maporders.MapOrder
     ) -> maporders.MapOrderOutcome:
+        if self._is_agent_silent(address):
+            answered = await self._get_engine(address).order(order)
+            return answered.outcome
         try:
             reply: maporders.MapOrderReply = await self._pool.call(
-                address,
+                self._locate_agent(address),
                 "order map",
                 lambda channel: services_grpc.EngineAgentStub(channel).Order,
                 order,
-                ORDER_TIMEOUT_S,
+                AGENT_TIMEOUT_S,
                 drop_on_failure=True,
             )
         except errors.PeerUnreachableError as error:
-            loguru.logger.info(str(error), step="order", kind=order.kind.value)
+            self._note_silence(address, error)
             return maporders.MapOrderOutcome.UNANSWERED
         return reply.outcome
 
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -21,6 +21,7 @@
 from lycheegauge.internal.protocol import (
     agreement,
     controlcalls,
+    enginedialects,
     freshness,
     roster,
     routetables,
@@ -304,8 +305,13 @@
                 if coordination is None or term != self.task.term:
                     term = self.task.term
                     _, port = peers.split_address(self.address)
+                    if coordination is not None:
+                        coordination.close()
                     coordination = mapcoordination.MapCoordination(
-                        term, self._pool, port
+                        term,
+                        self._pool,
+                        port,
+                        enginedialects.get_dialect(self.part.dialect),
                     )
                 wait_s = await self._run_maps(coordination)
             await asyncio.sleep(wait_s)
--- a/tests/properties/forwarding.feature
+++ b/tests/properties/forwarding.feature
@@ -18,6 +18,10 @@
   Scenario: Hosts with old news spread a crowd evenly
     Then the fullest server is less full than with random choice (flash crowd)
 
+  Scenario: What would start too late is told when to come back
+    Then under twice the load more requests start in time than without the forecast (overload)
+    And with free slots nothing is refused
+
   Scenario: A server that fails is left out for longer each time
     Then a failing server is left out and tried again
 
--- a/tests/steps/forwarding.py
+++ b/tests/steps/forwarding.py
@@ -1,4 +1,5 @@
 import collections
+import heapq
 import random
 import sys
 
@@ -14,6 +15,7 @@
     repeatbudget,
     routeindex,
     serverchoice,
+    waitforecast,
 )
 from lycheegauge.internal.coordination.groups import demand, evenshares
 from lycheegauge.internal.protocol import (
@@ -170,6 +172,76 @@
     assert informed <= 6.0 < at_random
 
 
+SLOTS, SERVICE_S, TARGET_S, PATIENCE_S = 72, 1.6, 0.4, 2.0
+
+
+def play_queue(load, refuses, seed=8):
+    """Plays one queue before many slots; returns the shares on time and refused.
+
+    A refused caller comes back once, when it was told to, and its target counts
+    from its first try. One whose request does not start in time leaves, as the
+    callers of streams do.
+    """
+    source = random.Random(seed)
+    forecast = waitforecast.WaitForecast()
+    rate = load * SLOTS / SERVICE_S
+    arrivals, now = [], 0.0
+    while now < 60.0:
+        now += source.expovariate(rate)
+        arrivals.append((now, now, False))
+    heapq.heapify(arrivals)
+    total, running, waiting = len(arrivals), [], collections.deque()
+    on_time = refused = 0
+    while arrivals:
+        now, first, is_back = heapq.heappop(arrivals)
+        while running and running[0] <= now:
+            ended = heapq.heappop(running)
+            while waiting:
+                came = waiting.popleft()
+                if ended - came[1] > PATIENCE_S:
+                    continue
+                on_time += ended - came[0] <= TARGET_S
+                heapq.heappush(running, ended + source.uniform(0.8, 2.4))
+                forecast.note_served(SERVICE_S)
+                break
+        busy = (len(running) + len(waiting)) / SLOTS
+        wait_s = forecast.predict_wait(busy, SLOTS)
+        after_s = waitforecast.find_return_time(wait_s, TARGET_S) if refuses else None
+        if after_s is not None:
+            refused += 1
+            if not is_back:
+                heapq.heappush(arrivals, (now + after_s, first, True))
+        elif len(running) < SLOTS:
+            on_time += now - first <= TARGET_S
+            heapq.heappush(running, now + source.uniform(0.8, 2.4))
+            forecast.note_served(SERVICE_S)
+        else:
+            waiting.append((first, now))
+    return on_time / total, refused
+
+
+@behave.then(
+    "under twice the load more requests start in time than without the forecast "
+    "(overload)"
+)
+def check_overload(context):
+    without, _ = play_queue(2.0, refuses=False)
+    with_forecast, _ = play_queue(2.0, refuses=True)
+    print(
+        f"figure: on time at twice the load: {with_forecast:.2f} with the forecast, "
+        f"{without:.2f} without",
+        file=sys.__stdout__,
+    )
+    # Half of the requests is all that the slots can take.
+    assert with_forecast > 0.4 > without
+
+
+@behave.then("with free slots nothing is refused")
+def check_light(context):
+    on_time, refused = play_queue(0.7, refuses=True)
+    assert refused == 0 and on_time > 0.99
+
+
 @behave.then("a failing server is left out and tried again")
 def check_backoff(context):
     choice = serverchoice.ServerChoice(random.Random(1))
