--- a/src/lycheegauge/internal/coordination/rosterview.py
+++ b/src/lycheegauge/internal/coordination/rosterview.py
@@ -98,6 +98,10 @@
             and roster.Departure(server.name, server.born_ms) not in departed
         ]
 
+    def get_lease_left(self, now: float) -> float:
+        """Returns how long the lease lasts, in seconds; -1 when it has run out."""
+        return round(max(-1.0, self.lease.ends_at - now), 3)
+
     def get_cold_until(self, server: str) -> float:
         """Returns when a server stops being cold; in the past if it isn't."""
         return self._cold_until.get(server, -math.inf)
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -36,7 +36,7 @@
 """A host that started with all others knows the table after an election and a
 pull, and the servers after one interval of their announcements, in seconds."""
 
-START_WAIT_SHARE = 4
+START_WAIT_SHARE = 2
 """A caller waits for a starting host at most this part of its time."""
 
 MISSING_NEWS = (
@@ -331,7 +331,7 @@
                 round(shared.choice.estimate(server, 1, now), 2),
                 round(now - shared.view.refreshed_at, 3),
                 shared.table_version,
-                round(shared.view.lease.ends_at - now, 3),
+                shared.view.get_lease_left(now),
                 round(self._remaining_s * 1000),
                 self._cutter.last_id if self._cutter else "",
             )
@@ -464,7 +464,7 @@
                 self._waited_ms,
                 self._service,
                 shared.table_version,
-                round(shared.view.lease.ends_at - clock.read_clock(), 3),
+                shared.view.get_lease_left(clock.read_clock()),
                 given_up.detail,
             )
         )
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -68,7 +68,7 @@
         self.metrics.observe(
             "lycheegauge_lease_left",
             "Seconds until this host stops serving without news",
-            lambda: self.view.lease.ends_at - clock.read_clock(),
+            lambda: self.view.get_lease_left(clock.read_clock()),
         )
         self.metrics.observe(
             "lycheegauge_usable_backend_servers",
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -99,7 +99,8 @@
         waited_ms: From the request's arrival.
         service: The service chosen; empty before.
         table_version: Version of the route table that decided; 0 for none.
-        lease_left_s: Time left of the lease; negative if it had run out.
+        lease_left_s: How long this host may still act on what it knows; -1 when
+            that has run out.
         detail: What was seen.
     """
 
