Don't look at a waiting map switch in a spin

Cause: with a rank lost while a pass was held, no orders are due, and the leader asked all ranks every 5 ms until the rank was back. Ruled out: the forecast (the gateways' logs went on), the log (no new term).

--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -142,7 +142,7 @@
             group = self._get_group(name)
             orders = self._decide(name, group, ranks, service.experts, target_gap_s)
             await self._send(group, name, orders, located)
-            waits.append(_choose_wait(group.switch.phase))
+            waits.append(_choose_wait(group.switch.phase, bool(orders)))
         return min(waits)
 
     def _locate_agent(self, engine_address: str) -> str:
@@ -365,14 +365,16 @@
     )
 
 
-def _choose_wait(phase: mapswitch.Phase) -> float:
-    """Chooses when to look again."""
-    match phase:
-        case mapswitch.Phase.IDLE:
-            return OBSERVE_INTERVAL_S
-        case mapswitch.Phase.ARMING | mapswitch.Phase.UNDOING:
-            return ARM_INTERVAL_S
-    return PREPARE_INTERVAL_S
+def _choose_wait(phase: mapswitch.Phase, has_orders: bool) -> float:
+    """Chooses when to look again.
+
+    Without orders a switch waits for a rank's report or copies, and looking more
+    often would only load the leader.
+    """
+    if phase is mapswitch.Phase.IDLE:
+        return OBSERVE_INTERVAL_S
+    is_arming = phase in (mapswitch.Phase.ARMING, mapswitch.Phase.UNDOING)
+    return ARM_INTERVAL_S if is_arming and has_orders else PREPARE_INTERVAL_S
 
 
 def _measure_passes(
--- a/tests/models/mapswitch.feature
+++ b/tests/models/mapswitch.feature
@@ -19,3 +19,6 @@
 
   Scenario: Without faults a switch ends with the new map on every rank
     Then an undisturbed map switch reaches the target on every rank
+
+  Scenario: A switch that waits for a rank does not keep the leader busy
+    Then a switch without orders is looked at as rarely as copies are
--- a/tests/steps/mapswitch.py
+++ b/tests/steps/mapswitch.py
@@ -5,6 +5,9 @@
 import behave
 from support import explorer, mapworld
 
+from lycheegauge.internal.coordination.groups import mapswitch
+from lycheegauge.internal.daemons import mapcoordination
+
 MAX_STATES = 400_000
 VARIANTS = {
     "with engines that ignore fences": functools.partial(mapworld.World, fences=False),
@@ -69,3 +72,13 @@
         world.do_answer()
     world.settle()
     assert [rank.map[0] for rank in world.ranks] == [target] * mapworld.RANKS
+
+
+@behave.then("a switch without orders is looked at as rarely as copies are")
+def check_waits(context):
+    # A rank that was lost while a pass was held made the leader look every 5 ms.
+    for phase in mapswitch.Phase:
+        wait_s = mapcoordination._choose_wait(phase, has_orders=False)
+        assert wait_s >= mapcoordination.PREPARE_INTERVAL_S, phase
+    arming = mapcoordination._choose_wait(mapswitch.Phase.ARMING, has_orders=True)
+    assert arming < mapcoordination.PREPARE_INTERVAL_S
