--- a/src/lycheegauge/command.py
+++ b/src/lycheegauge/command.py
@@ -6,7 +6,6 @@
 
 import argparse
 import asyncio
-import importlib
 import os
 import pathlib
 import sys
@@ -19,6 +18,7 @@
 from returns import result
 
 from lycheegauge import errors, settings
+from lycheegauge.internal import forwardingcommands
 from lycheegauge.internal.protocol import changes, intents, operations
 
 EXIT_DONE = 0
@@ -33,11 +33,6 @@
     "Exit codes: 0 done, 1 refused or in conflict, 2 wrong usage or settings, "
     "3 the system can't be reached or can't answer now."
 )
-FORWARDING_ROLES = {
-    "gateway": "an entry host that forwards requests as they are",
-    "control": "a log host of a forwarding deployment",
-    "engineagent": "the agent beside an engine of a lock-step group",
-}
 SETTINGS_HELP = "settings file, JSON with comments; see 'check-settings'"
 
 
@@ -100,12 +95,7 @@
         "--settings", type=pathlib.Path, required=True, help=SETTINGS_HELP
     )
     agent.set_defaults(run=run_agent)
-    for role, purpose in FORWARDING_ROLES.items():
-        daemon = commands.add_parser(role, help=f"run {purpose}")
-        daemon.add_argument(
-            "--settings", type=pathlib.Path, required=True, help=SETTINGS_HELP
-        )
-        daemon.set_defaults(run=run_forwarding_role, role=role)
+    forwardingcommands.add_roles(commands, SETTINGS_HELP)
     local = commands.add_parser(
         "local", help="run a whole small system in one process and try it"
     )
@@ -143,17 +133,7 @@
 
 
 def _add_operations(commands: typing.Any) -> None:
-    trace = commands.add_parser(
-        "trace", help="join the log lines of several processes on one request"
-    )
-    trace.add_argument("id", help="the request's id")
-    trace.add_argument("files", type=pathlib.Path, nargs="+", metavar="FILE")
-    trace.set_defaults(run=trace_request)
-    summary = commands.add_parser(
-        "logs-summary", help="count given-up requests by second and reason"
-    )
-    summary.add_argument("files", type=pathlib.Path, nargs="+", metavar="FILE")
-    summary.set_defaults(run=summarise_logs)
+    forwardingcommands.add_log_readers(commands)
     check = commands.add_parser("check-settings", help="check settings files")
     check.add_argument(
         "files", type=pathlib.Path, nargs="+", metavar="FILE", help="settings file"
@@ -214,39 +194,6 @@
     return asyncio.run(processes.run_agent(part))
 
 
-def run_forwarding_role(options: argparse.Namespace) -> int:
-    """Runs a role of a forwarding deployment until it is told to stop."""
-    part = getattr(settings.read_settings(options.settings), options.role)
-    if part is None:
-        message = f"{options.settings}: has no key '{options.role}'"
-        raise errors.SettingsError(message)
-    # Registers the product's own words; an adapter registers others.
-    importlib.import_module("lycheegauge.internal.protocol.nativedialect")
-    # Only the role's own module is loaded: a host may have little memory.
-    daemon = importlib.import_module(f"lycheegauge.internal.daemons.{options.role}")
-    code: int = asyncio.run(getattr(daemon, f"run_{options.role}")(part))
-    return code
-
-
-def trace_request(options: argparse.Namespace) -> int:
-    """Prints what happened to a request, and what its hosts came to believe."""
-    from lycheegauge.internal import traces
-
-    story = traces.tell_request(options.id, traces.read_lines(options.files))
-    for line in story:
-        print(line)
-    return EXIT_DONE if story else EXIT_REFUSED
-
-
-def summarise_logs(options: argparse.Namespace) -> int:
-    """Prints how many requests were given up, by second and reason."""
-    from lycheegauge.internal import traces
-
-    for line in traces.count_reasons(traces.read_lines(options.files)):
-        print(line)
-    return EXIT_DONE
-
-
 def run_local(options: argparse.Namespace) -> int:
     """Runs a whole small system in one process."""
     from lycheegauge.internal.daemons import local
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -9,13 +9,13 @@
 import tornado.httputil
 
 from lycheegauge import errors
-from lycheegauge.internal import events
 from lycheegauge.internal.coordination import (
     eventstream,
     forwardrules,
     headers,
     routeindex,
 )
+from lycheegauge.internal.daemons import requestrecord
 from lycheegauge.internal.protocol import roster, routetables, work
 from lycheegauge.internal.transport import clock, ingress, upstream
 
@@ -70,17 +70,16 @@
         self._refusals = 0
         self._may_have_run = False
         self._cutter: eventstream.EventCutter | None = None
-        self._server = ""
-        self._first_at: float | None = None
+        self._record = requestrecord.RequestRecord(
+            shared, self._id, exchange.arrived_at
+        )
 
     async def run(self) -> None:
         """Forwards the request until it is answered or given up."""
         try:
             await self._run()
         except asyncio.CancelledError:
-            events.write_event(
-                events.RequestCancelled(self._id, self._server, self._waited_ms)
-            )
+            self._record.write_cancelled()
             raise
 
     async def _run(self) -> None:
@@ -152,10 +151,6 @@
         told = self._exchange.headers.get(self._names.time_left_ms, "")
         return int(told) / 1000 if told.isascii() and told.isdigit() else math.inf
 
-    @property
-    def _waited_ms(self) -> int:
-        return round((clock.read_clock() - self._exchange.arrived_at) * 1000)
-
     @property
     def _remaining_s(self) -> float:
         return self._deadline - clock.read_clock()
@@ -220,8 +215,13 @@
     ) -> forwardrules.GivenUp | None:
         """Sends the request to one server; returns ``None`` once it is answered."""
         shared = self._shared
-        self._server = server.name
-        self._write_sent(server)
+        self._record.write_sent(
+            server,
+            self._service,
+            self._runs + self._refusals + 1,
+            self._deadline,
+            self._cutter.last_id if self._cutter else "",
+        )
         shared.choice.note_sent(server.name)
         self._tried.add(server.name)
         is_complete = False
@@ -244,7 +244,7 @@
                 return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED)
             await self._pass_on(head, connection)
             is_complete = True
-            self._write_answered(head.status)
+            self._record.write_answered(head.status, self._runs)
             served_s = clock.read_clock() - sent_at
             shared.get_forecast(self._service).note_served(served_s)
             return None
@@ -313,45 +313,7 @@
 
     def _note_failure(self, server: roster.ServerListing, detail: str) -> None:
         out_s = self._shared.choice.note_failure(server.name, clock.read_clock())
-        events.write_event(
-            events.AttemptFailed(
-                self._id, server.name, self._may_have_run, detail, out_s
-            )
-        )
-
-    def _write_sent(self, server: roster.ServerListing) -> None:
-        shared, now = self._shared, clock.read_clock()
-        events.write_event(
-            events.RequestSent(
-                self._id,
-                self._service,
-                server.name,
-                self._runs + self._refusals + 1,
-                len(shared.view.list_usable(now)),
-                round(shared.choice.estimate(server, 1, now), 2),
-                round(now - shared.view.refreshed_at, 3),
-                shared.table_version,
-                shared.view.get_lease_left(now),
-                round(self._remaining_s * 1000),
-                self._cutter.last_id if self._cutter else "",
-            )
-        )
-
-    def _write_answered(self, status: int) -> None:
-        arrived_at = self._exchange.arrived_at
-        first_s = (self._first_at or clock.read_clock()) - arrived_at
-        self._shared.metrics.record_first_token(first_s)
-        self._shared.metrics.record_total(clock.read_clock() - arrived_at)
-        events.write_event(
-            events.RequestAnswered(
-                self._id,
-                self._server,
-                status,
-                round(first_s * 1000),
-                self._waited_ms,
-                self._runs,
-            )
-        )
+        self._record.write_failed(server, self._may_have_run, detail, out_s)
 
     # Answers.
 
@@ -419,7 +381,7 @@
         made = tornado.httputil.HTTPHeaders()
         for name, text in headers.pass_on_headers(head.headers):
             made.add(name, text)
-        self._first_at = clock.read_clock()
+        self._record.first_at = clock.read_clock()
         self._exchange.start(head.status, head.reason, made)
 
     def _give_up(
@@ -452,19 +414,6 @@
         self._exchange.answer(given_up.status, reason, body, fields)
 
     def _write_given_up(self, given_up: forwardrules.GivenUp, status: int) -> None:
-        shared = self._shared
-        events.write_event(
-            events.RequestGivenUp(
-                self._id,
-                given_up.reason.value,
-                status,
-                given_up.retry_after_s,
-                self._runs,
-                self._refusals,
-                self._waited_ms,
-                self._service,
-                shared.table_version,
-                shared.view.get_lease_left(clock.read_clock()),
-                given_up.detail,
-            )
+        self._record.write_given_up(
+            given_up, status, self._service, self._runs, self._refusals
         )
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/leaderproofs.py
@@ -0,0 +1,61 @@
+"""Proofs of freshness that a log replica gives while it leads."""
+
+import asyncio
+import collections.abc
+
+from returns import result
+
+from lycheegauge.internal.coordination import leases
+from lycheegauge.internal.daemons import replication
+from lycheegauge.internal.protocol import agreement, freshness
+from lycheegauge.internal.transport import clock
+
+
+class LeaderProofs:
+    """Has leadership confirmed by a quorum, once for all who ask together.
+
+    Args:
+        get_task: Returns the replica's task, which may be replaced.
+        wait_s: The longest wait for a confirmation, in seconds.
+        interval_s: The least time between two confirmations, in seconds.
+    """
+
+    def __init__(
+        self,
+        get_task: collections.abc.Callable[[], replication.ReplicationTask],
+        wait_s: float,
+        interval_s: float = leases.CONFIRMATION_INTERVAL_S,
+    ) -> None:
+        self._get_task = get_task
+        self._wait_s = wait_s
+        self._issuer = leases.ProofIssuer(interval_s)
+        self._reads: set[asyncio.Task[None]] = set()
+
+    def close(self) -> None:
+        """Ends the confirmations under way."""
+        for task in self._reads:
+            task.cancel()
+
+    async def confirm(self, asked_at: float) -> None:
+        """Waits for a confirmation, if one is due."""
+        read_id = self._issuer.begin_read(asked_at)
+        if read_id is not None:
+            task = asyncio.create_task(self._read(read_id))
+            self._reads.add(task)
+            task.add_done_callback(self._reads.discard)
+            await asyncio.wait([task], timeout=self._wait_s)
+
+    def make(self, revision: int, log_time_s: float) -> freshness.Proof | None:
+        """Makes a proof for a revision that this replica has applied now."""
+        applied = leases.AppliedState(
+            self._get_task().applied_index, revision, log_time_s
+        )
+        return self._issuer.make_proof(applied, clock.read_clock())
+
+    async def _read(self, read_id: str) -> None:
+        outcome = await self._get_task().read()
+        if isinstance(outcome, result.Success):
+            done = agreement.ReadDone(read_id, outcome.unwrap())
+        else:
+            done = agreement.ReadDone(read_id, 0, str(outcome.failure()))
+        self._issuer.finish_read(done)
--- a/src/lycheegauge/internal/daemons/lognode.py
+++ b/src/lycheegauge/internal/daemons/lognode.py
@@ -4,7 +4,6 @@
 members, both soft state that is rebuilt from the entry hosts' questions.
 """
 
-import asyncio
 import collections.abc
 import dataclasses
 import random
@@ -19,9 +18,9 @@
     directory,
     enforcement,
     followers,
-    leases,
 )
 from lycheegauge.internal.daemons import (
+    leaderproofs,
     logclock,
     replicasender,
     replication,
@@ -52,11 +51,10 @@
         self.host = host
         self.machine = machine.Machine()
         self.directory = directory.Directory(uuid.uuid4().hex[:12])
-        self._issuer = leases.ProofIssuer()
+        self._proofs = leaderproofs.LeaderProofs(lambda: self.task, PROOF_WAIT_S)
         self._sender = replicasender.ReplicaSender(
             pool, lambda channel: services_grpc.ReplicaStub(channel).Deliver
         )
-        self._reads: set[asyncio.Task[None]] = set()
         self._log_clock = logclock.LogClock()
         self._deltas = deltas.DeltaLog()
         self._offered = intents.Configuration()
@@ -85,8 +83,7 @@
         """Ends the replica and everything it sends."""
         await self.task.close()
         self._sender.close()
-        for task in self._reads:
-            task.cancel()
+        self._proofs.close()
 
     # Parts of the replicated state.
 
@@ -183,29 +180,8 @@
     async def _make_proof(self, asked_at: float) -> freshness.Proof | None:
         if not self.task.is_leader:
             return None
-        await self._confirm_leadership(asked_at)
-        applied = leases.AppliedState(
-            self.task.applied_index,
-            self.configuration.revision,
-            self.read_log_time(),
-        )
-        return self._issuer.make_proof(applied, clock.read_clock())
-
-    async def _confirm_leadership(self, now: float) -> None:
-        read_id = self._issuer.begin_read(now)
-        if read_id is not None:
-            task = asyncio.create_task(self._read(read_id))
-            self._reads.add(task)
-            task.add_done_callback(self._reads.discard)
-            await asyncio.wait([task], timeout=PROOF_WAIT_S)
-
-    async def _read(self, read_id: str) -> None:
-        outcome = await self.task.read()
-        if isinstance(outcome, result.Success):
-            done = agreement.ReadDone(read_id, outcome.unwrap())
-        else:
-            done = agreement.ReadDone(read_id, 0, str(outcome.failure()))
-        self._issuer.finish_read(done)
+        await self._proofs.confirm(asked_at)
+        return self._proofs.make(self.configuration.revision, self.read_log_time())
 
     async def describe(self, _: proposals.StatusRequest) -> proposals.StatusReply:
         """Describes the whole system, if this replica leads."""
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -0,0 +1,125 @@
+"""Writes the events of one forwarded request, with what decided each."""
+
+import typing
+
+from lycheegauge.internal import events
+from lycheegauge.internal.coordination import forwardrules
+from lycheegauge.internal.protocol import roster
+from lycheegauge.internal.transport import clock
+
+if typing.TYPE_CHECKING:
+    from lycheegauge.internal.daemons import forwarder
+
+
+class RequestRecord:
+    """Knows what the events of one request have in common.
+
+    Attributes:
+        first_at: When the first part of the answer was passed on, in seconds.
+
+    Args:
+        shared: What the entry host holds and believes.
+        request_id: The caller's id of the request.
+        arrived_at: When it was read, in seconds.
+    """
+
+    def __init__(
+        self, shared: "forwarder.Forwarder", request_id: str, arrived_at: float
+    ) -> None:
+        self.first_at: float | None = None
+        self._shared = shared
+        self._id = request_id
+        self._arrived_at = arrived_at
+        self._server = ""
+
+    @property
+    def _waited_ms(self) -> int:
+        return round((clock.read_clock() - self._arrived_at) * 1000)
+
+    def write_sent(
+        self,
+        server: roster.ServerListing,
+        service: str,
+        attempt: int,
+        deadline: float,
+        resumed_after: str,
+    ) -> None:
+        """Tells to which server the request goes, and why to this one."""
+        shared, now = self._shared, clock.read_clock()
+        self._server = server.name
+        events.write_event(
+            events.RequestSent(
+                self._id,
+                service,
+                server.name,
+                attempt,
+                len(shared.view.list_usable(now)),
+                round(shared.choice.estimate(server, 1, now), 2),
+                round(now - shared.view.refreshed_at, 3),
+                shared.table_version,
+                shared.view.get_lease_left(now),
+                round((deadline - now) * 1000),
+                resumed_after,
+            )
+        )
+
+    def write_failed(
+        self,
+        server: roster.ServerListing,
+        was_run: bool,
+        detail: str,
+        left_out_s: float,
+    ) -> None:
+        """Tells that a server did not answer."""
+        events.write_event(
+            events.AttemptFailed(self._id, server.name, was_run, detail, left_out_s)
+        )
+
+    def write_answered(self, status: int, runs: int) -> None:
+        """Tells that an answer was passed on to its end, and counts its times."""
+        now = clock.read_clock()
+        first_s = (self.first_at or now) - self._arrived_at
+        self._shared.metrics.record_first_token(first_s)
+        self._shared.metrics.record_total(now - self._arrived_at)
+        events.write_event(
+            events.RequestAnswered(
+                self._id,
+                self._server,
+                status,
+                round(first_s * 1000),
+                self._waited_ms,
+                runs,
+            )
+        )
+
+    def write_given_up(
+        self,
+        given_up: forwardrules.GivenUp,
+        status: int,
+        service: str,
+        runs: int,
+        refusals: int,
+    ) -> None:
+        """Tells why the request was given up."""
+        shared = self._shared
+        events.write_event(
+            events.RequestGivenUp(
+                self._id,
+                given_up.reason.value,
+                status,
+                given_up.retry_after_s,
+                runs,
+                refusals,
+                self._waited_ms,
+                service,
+                shared.table_version,
+                shared.view.get_lease_left(clock.read_clock()),
+                given_up.detail,
+            )
+        )
+
+    def write_cancelled(self) -> None:
+        """Tells that the caller left."""
+        events.write_event(
+            events.RequestCancelled(self._id, self._server, self._waited_ms)
+        )
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -7,12 +7,12 @@
 import zlib
 
 import loguru
-from returns import result
 
 from lycheegauge import errors, settings
-from lycheegauge.internal.coordination import leases, rosterbook, rosterview
+from lycheegauge.internal.coordination import rosterbook, rosterview
 from lycheegauge.internal.coordination.agreement import timing
 from lycheegauge.internal.daemons import (
+    leaderproofs,
     mapcoordination,
     replicasender,
     replication,
@@ -48,6 +48,9 @@
 
 REPAIR_INTERVAL_S = 0.2
 PROOF_WAIT_S = 0.5
+PROOF_INTERVAL_S = 0.05
+"""Like the log's read rounds, which pulls within the interval share."""
+
 LIFETIME_INTERVALS = 3.5
 """Announcement intervals without a sign of life until a server is taken out."""
 HOST_LIFETIME_S = 2.0
@@ -76,8 +79,9 @@
         self._sender = replicasender.ReplicaSender(
             pool, lambda channel: services_grpc.RosterHostStub(channel).Deliver
         )
-        self._issuer = leases.ProofIssuer(interval_s=0.05)
-        self._reads: set[asyncio.Task[None]] = set()
+        self._proofs = leaderproofs.LeaderProofs(
+            lambda: self.task, PROOF_WAIT_S, PROOF_INTERVAL_S
+        )
         self._seeds = rosterclient.list_seed_peers(part.roster, part.peer_address)
         self._lifetimes = rosterbook.Lifetimes(
             LIFETIME_INTERVALS * part.announce_interval_s, HOST_LIFETIME_S
@@ -122,9 +126,10 @@
 
     async def close(self) -> None:
         """Ends the replica and everything it sends."""
-        for task in [*self._tasks, *self._reads]:
+        self._proofs.close()
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, *self._reads, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.task.close()
         self._sender.close()
 
@@ -190,8 +195,8 @@
         if question.host is not None:
             self.get_book().take_host(question.host, now)
             self.get_book().note_open(question.host.name, question.open_requests)
-        await self._confirm_leadership(now)
-        proof = self._make_proof()
+        await self._proofs.confirm(now)
+        proof = self._proofs.make(self.routing.revision, log_time_s=0.0)
         if proof is None or not self.task.is_leader:
             return roster.RosterReply(None, *hints)
         return self._make_reply(question, proof, hints)
@@ -228,28 +233,6 @@
             elsewhere,
         )
 
-    def _make_proof(self) -> freshness.Proof | None:
-        applied = leases.AppliedState(
-            self.task.applied_index, self.routing.revision, 0.0
-        )
-        return self._issuer.make_proof(applied, clock.read_clock())
-
-    async def _confirm_leadership(self, now: float) -> None:
-        read_id = self._issuer.begin_read(now)
-        if read_id is not None:
-            task = asyncio.create_task(self._read(read_id))
-            self._reads.add(task)
-            task.add_done_callback(self._reads.discard)
-            await asyncio.wait([task], timeout=PROOF_WAIT_S)
-
-    async def _read(self, read_id: str) -> None:
-        outcome = await self.task.read()
-        if isinstance(outcome, result.Success):
-            done = agreement.ReadDone(read_id, outcome.unwrap())
-        else:
-            done = agreement.ReadDone(read_id, 0, str(outcome.failure()))
-        self._issuer.finish_read(done)
-
     async def relay(self, call: roster.RelayedCall) -> roster.RelayedAnswer:
         """Hands a control call to the leader; status 0 if there is none.
 
--- a/src/lycheegauge/internal/protocol/controlcalls.py
+++ b/src/lycheegauge/internal/protocol/controlcalls.py
@@ -70,7 +70,6 @@
         priority: The rank at the backend server, 0 to 9, 0 first.
         not_run: Set on an answer that says that the request was not run.
         resume_after: The id of the last event that the caller has.
-        sizes: Prompt tokens and the most answer tokens, comma-separated.
     """
 
     request_id: str
@@ -80,7 +79,6 @@
     priority: str
     not_run: str
     resume_after: str
-    sizes: str
 
 
 class Dialect(typing.Protocol):
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -18,7 +18,6 @@
     priority="Lycheegauge-Priority",
     not_run="Lycheegauge-Not-Run",
     resume_after="Last-Event-Id",
-    sizes="Lycheegauge-Tokens",
 )
 
 KEY_SCHEME = "Bearer "
@@ -70,7 +69,6 @@
     """One service."""
 
     name: str
-    connections_max: int = pydantic.Field(default=256, ge=1)
     cold_rate: float = pydantic.Field(default=0.0, ge=0)
     experts: ExpertLayoutModel | None = None
 
@@ -78,7 +76,6 @@
         """Returns the service in the product's types."""
         return routetables.ServiceDeclaration(
             self.name,
-            self.connections_max,
             self.cold_rate,
             experts=self.experts.decode() if self.experts else None,
         )
--- a/src/lycheegauge/internal/protocol/routetables.py
+++ b/src/lycheegauge/internal/protocol/routetables.py
@@ -62,29 +62,6 @@
     open_to_all: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineCosts:
-    """What a model engine's work costs in time, as its operator declares it.
-
-    Attributes:
-        step_s: One token step without requests, in seconds.
-        step_per_request_s: Added to a step by each request that writes.
-        read_tokens_per_s: Prompt tokens read in a second.
-        steps_per_pass: Token steps of one pass.
-        usual_prompt_tokens: Mean tokens of a prompt.
-        usual_answer_tokens: Mean tokens of an answer.
-        memory_tokens: Tokens that fit into a backend server's memory.
-    """
-
-    step_s: float
-    step_per_request_s: float
-    read_tokens_per_s: float
-    steps_per_pass: int
-    usual_prompt_tokens: float
-    usual_answer_tokens: float
-    memory_tokens: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpertLayout:
     """The experts of a model whose groups run in lock step.
@@ -107,15 +84,12 @@
     """A service as the operator declares it.
 
     ``cold_rate`` is how many requests a second a cold backend server bears; 0
-    when there is no such limit. ``connections_max`` is the connections that a
-    backend server accepts from all callers together.
+    when there is no such limit. ``slots`` is for servers that don't tell theirs.
     """
 
     name: str
-    connections_max: int
     cold_rate: float
     slots: int = 0
-    engine: EngineCosts | None = None
     experts: ExpertLayout | None = None
 
 
