--- a/src/lycheegauge/internal/coordination/waitforecast.py
+++ b/src/lycheegauge/internal/coordination/waitforecast.py
@@ -13,12 +13,9 @@
 """Part of the first byte's target that a request may wait for its slot; the rest is
 for its own prompt. See the overload in the tests: a longer wait makes all late."""
 
-RETRY_AFTER_MIN_S = 1.0
-"""A refused request misses its target in any case, and most callers come back only
-once: a second more makes a second refusal less likely and costs them nothing."""
-
-RETRY_AFTER_MAX_S = 2.5
-"""Callers honour up to a third of their time, which is some eight seconds."""
+RETRY_AFTER_MIN_S = 0.2
+RETRY_AFTER_MAX_S = 2.0
+"""Callers honour up to a third of their time; most have some seconds."""
 
 
 class WaitForecast:
