Break a stream off when the server asked to go on answers with an error

Cause, found by reading the change as a newcomer: once the attempts of a route were used up, a 500 to the resuming request was passed on like any answer, so its body went into the stream and the stream ended as if complete. The new step fails on the commit before ('sorry' after event 6).

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -239,7 +239,12 @@
                 self._refusals += 1
                 is_complete = await self._skip_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVERS_FULL)
-            if verdict is forwardrules.Verdict.REPEAT and self._can_repeat_run():
+            is_broken = self._exchange.is_started and head.status != OK
+            can_repeat = verdict is forwardrules.Verdict.REPEAT and (
+                self._can_repeat_run()
+            )
+            if is_broken or can_repeat:
+                # An answer that is no continuation must not end up in the stream.
                 is_complete = await self._skip_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED)
             await self._pass_on(head, connection)
--- a/tests/processes/forwarding.feature
+++ b/tests/processes/forwarding.feature
@@ -11,6 +11,7 @@
   Scenario: A stream whose backend server dies goes on without gap or repeat
     Then a stream that breaks off at event 7 is whole for its caller
     And an unsafe request that a server refuses runs once elsewhere
+    And a stream that no server can go on with is broken off, not ended
 
   Scenario: What was acknowledged holds after every log host was killed
     Then a table, a zone out and a farewell survive the death of all log hosts
--- a/tests/steps/forwardingfleet.py
+++ b/tests/steps/forwardingfleet.py
@@ -1,4 +1,5 @@
 import concurrent.futures
+import http.client
 import signal
 import time
 
@@ -72,6 +73,24 @@
         assert fleet.count_runs(f"u{number}") == 1
 
 
+@behave.then("a stream that no server can go on with is broken off, not ended")
+def check_broken_off(context):
+    fleet = context.fleet
+    for server in fleet.servers:
+        server.refuses = False
+        server.breaks_at = 7
+        server.fails_resumed = True
+    try:
+        answer = fleet.request("/stream/a", "broken")
+    except http.client.IncompleteRead as error:
+        received = error.partial
+    else:
+        raise AssertionError(f"a stream that was cut looks complete: {answer.body}")
+    assert b"sorry" not in received, "an error's body got into the stream"
+    events = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, 7))
+    assert received.decode() == events
+
+
 @behave.then("a table, a zone out and a farewell survive the death of all log hosts")
 def check_acknowledged(context):
     fleet = context.fleet
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -34,6 +34,7 @@
         self.leaked_keys = 0
         self.breaks_at = 0
         self.refuses = False
+        self.fails_resumed = False
         self.leaving = False
         self.sequence = 0
         self.born_ms = time.time_ns() // 1_000_000
@@ -110,6 +111,9 @@
             return
         self.runs[request_id] += 1
         self.organisations[fields.get("lycheegauge-organisation", "")] += 1
+        if self.fails_resumed and "last-event-id" in fields:
+            writer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\nsorry")
+            return
         if not target.startswith("/stream/"):
             body = self.name.encode()
             writer.write(
