Tell when a daemon's task ends early; keep maps out of the way of the rest

Cause, found by reading: the loops of gateways and control hosts were awaited by nobody, so one that failed on a report it did not expect would have ended unseen, and maps would have stood still.

--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -98,7 +98,7 @@
         await self._readiness.start()
         await self._metrics_listener.start()
         for loop in (self._keep_pulling, self._keep_sweeping):
-            self._tasks.append(asyncio.create_task(loop()))
+            self._tasks.append(lifecycle.start_task(loop))
         loguru.logger.info("started", step="start", caller_address=self.caller_address)
 
     async def drain(self) -> None:
--- a/src/lycheegauge/internal/daemons/lifecycle.py
+++ b/src/lycheegauge/internal/daemons/lifecycle.py
@@ -65,6 +65,26 @@
     await received.wait()
 
 
+def start_task(
+    run: typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]],
+) -> "asyncio.Task[None]":
+    """Starts a task that lives as long as its daemon; an early end is an error.
+
+    Nobody awaits such a task before the daemon closes, so its failure would go
+    unseen.
+    """
+    task = asyncio.create_task(run())
+    task.add_done_callback(_note_end)
+    return task
+
+
+def _note_end(task: "asyncio.Task[None]") -> None:
+    if not task.cancelled() and task.exception() is not None:
+        loguru.logger.opt(exception=task.exception()).error(
+            "a task of this process ended; restart the process", task=task.get_name()
+        )
+
+
 def note_reload() -> None:
     """Notes a hang-up signal; settings are read at the start only."""
     loguru.logger.info("settings are read at the next start", step="reload")
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -13,6 +13,7 @@
 from lycheegauge.internal.coordination.agreement import timing
 from lycheegauge.internal.daemons import (
     leaderproofs,
+    lifecycle,
     mapcoordination,
     replicasender,
     replication,
@@ -122,7 +123,7 @@
         """
         await self.task.start()
         for loop in (self._keep_house, self._keep_following, self._keep_maps):
-            self._tasks.append(asyncio.create_task(loop()))
+            self._tasks.append(lifecycle.start_task(loop))
 
     async def close(self) -> None:
         """Ends the replica and everything it sends."""
@@ -296,7 +297,11 @@
                         port,
                         enginedialects.get_dialect(self.part.dialect),
                     )
-                wait_s = await self._run_maps(coordination)
+                try:
+                    wait_s = await self._run_maps(coordination)
+                except (KeyError, ValueError, ArithmeticError) as error:
+                    # The maps stay as they are; requests do not depend on them.
+                    loguru.logger.opt(exception=error).error("maps not planned")
             await asyncio.sleep(wait_s)
 
     async def _run_maps(self, coordination: mapcoordination.MapCoordination) -> float:
--- a/tests/properties/logs.feature
+++ b/tests/properties/logs.feature
@@ -13,3 +13,6 @@
   Scenario: The lines of several processes join into one story
     Then the trace of a request tells its lines and beliefs in order
     And reasons are counted by second
+
+  Scenario: A task that fails does not fail unseen
+    Then a failed task of a daemon writes an error
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -1,3 +1,4 @@
+import asyncio
 import dataclasses
 import inspect
 import io
@@ -12,7 +13,11 @@
 import loguru
 
 from lycheegauge.internal import events, logs, traces
-from lycheegauge.internal.daemons import forwardedrequest, requestrecord
+from lycheegauge.internal.daemons import (
+    forwardedrequest,
+    lifecycle,
+    requestrecord,
+)
 
 
 class StalledStream(io.StringIO):
@@ -176,3 +181,24 @@
         ["1", "backend_server_failed"],
         ["1", "lease_expired"],
     ]
+
+
+@behave.then("a failed task of a daemon writes an error")
+def check_failed_task(context):
+    async def fail():
+        raise RuntimeError("no such rank")
+
+    async def run():
+        task = lifecycle.start_task(fail)
+        await asyncio.wait([task])
+        await asyncio.sleep(0)
+
+    stream = io.StringIO()
+    writer = logs.LineWriter(stream)
+    writer.start()
+    loguru.logger.remove()
+    loguru.logger.add(writer.write, level="INFO", format="{message}")
+    asyncio.run(run())
+    writer.close(5.0)
+    line = json.loads(stream.getvalue())
+    assert line["level"] == "ERROR" and "no such rank" in line["exception"], line
