--- a/tests/steps/forwardingfleet.py
+++ b/tests/steps/forwardingfleet.py
@@ -125,6 +125,9 @@
     fleet.put_table(2)
     fleet.wipe("control-2")
     fleet.start_control(1)
+    processes.wait_until(
+        lambda: fleet.read_log("control-2").count('"started"') == 2, "it is back"
+    )
     # The loss of another host must be borne this long after the wiped one is back.
     time.sleep(4.0)
     fleet.stop("control-3")
