Release a held pass through another engine's agent; hold by time, not by passes

Change: ways to an engine are tried in turn: its agent, straight, through another engine's agent; ways that failed are left out for 5 s. While a pass is held an agent has 0.12 s. The held pass is about 0.25 s ahead.

Ruled out: a frozen engine (its connections opened, the group's epoch stayed the same); a lost leader (it wrote lines all the while). Before: without other agents there is no way (kept as a step of the test). After: read within 0.5 s, 0.1 s from the second look on.

--- a/src/lycheegauge/internal/coordination/groups/mapswitch.py
+++ b/src/lycheegauge/internal/coordination/groups/mapswitch.py
@@ -23,7 +23,8 @@
 """Orders that one coordinator can number; tokens stay exact in JSON numbers."""
 
 HOLD_AHEAD_STEPS = 5
-"""The held pass is so far ahead that arming ends before it is due."""
+"""The held pass is so far ahead, unless told otherwise, that arming ends before it
+is due."""
 
 PREPARE_TIMEOUT_S = 4.0
 """Copies take a few tenths of a second; a longer wait means a lost rank."""
@@ -82,6 +83,7 @@
         self._target: Target | None = None
         self._target_version = NONE
         self._phase_since = 0.0
+        self._ahead_steps = HOLD_AHEAD_STEPS
         self._released_step = NONE
         self._highest_version = 0
         self.is_fenced_out = False
@@ -109,8 +111,17 @@
         self._highest_version = max(named) + 1
         return self._highest_version
 
-    def set_target(self, target: Target, now: float) -> None:
-        """Starts a switch; ``is_idle`` must hold."""
+    def set_target(
+        self, target: Target, now: float, ahead_steps: int = HOLD_AHEAD_STEPS
+    ) -> None:
+        """Starts a switch; ``is_idle`` must hold.
+
+        Args:
+            target: The map to switch to.
+            now: Seconds.
+            ahead_steps: How many passes ahead one is held.
+        """
+        self._ahead_steps = ahead_steps
         self._target = target
         self._target_version = target.version
         self._prepared_at.clear()
@@ -224,7 +235,7 @@
             self._enter(Phase.UNDOING, now)
             return self._undo(reports, now)
         if not held:
-            step = max(report.step for report in reports.values()) + HOLD_AHEAD_STEPS
+            step = max(report.step for report in reports.values()) + self._ahead_steps
             holder = min(reports)
             return [self._make(holder, maporders.MapOrderKind.HOLD, step=step)]
         holder = held[0]
--- a/src/lycheegauge/internal/daemons/engineagent.py
+++ b/src/lycheegauge/internal/daemons/engineagent.py
@@ -1,6 +1,7 @@
 """The agent beside an engine: it reads the engine and passes orders on.
 
-It decides nothing and keeps nothing, so that it can be lost at any moment.
+It decides nothing and keeps nothing, so that it can be lost at any moment. It also
+relays to an engine whose own agent the coordinator can't reach.
 """
 
 import loguru
@@ -8,18 +9,21 @@
 from lycheegauge import settings
 from lycheegauge.internal import logs
 from lycheegauge.internal.daemons import engineclient, lifecycle
-from lycheegauge.internal.protocol import enginedialects
+from lycheegauge.internal.protocol import enginedialects, maporders
 from lycheegauge.internal.transport import peers, services
 
+CLIENTS_MAX = 8
+"""Engines that this agent is connected to: its own, and some that were cut off."""
+
 
 class EngineAgentDaemon:
     """Owns the connection to one engine."""
 
     def __init__(self, part: settings.EngineAgentSettings) -> None:
         self._part = part
-        dialect = enginedialects.get_dialect(part.dialect)
-        self._client = engineclient.EngineClient(dialect, part.engine_address)
-        service = services.EngineAgentService(self._client.observe, self._client.order)
+        self._dialect = enginedialects.get_dialect(part.dialect)
+        self._clients: dict[str, engineclient.EngineClient] = {}
+        service = services.EngineAgentService(self.observe, self.order)
         self._server = peers.PeerServer(part.peer_address, [service])
 
     async def start(self) -> None:
@@ -33,13 +37,37 @@
             "started", step="start", address=address, engine=self._part.engine_address
         )
 
+    async def observe(
+        self, question: maporders.EngineQuestion
+    ) -> maporders.EngineReport:
+        """Reads this host's engine, or another that its asker can't reach.
+
+        Raises:
+            errors.LycheegaugeError: The engine gives no readable answer.
+        """
+        return await self._get_client(question.engine_address).observe(question)
+
+    async def order(self, relayed: maporders.RelayedOrder) -> maporders.MapOrderReply:
+        """Passes an order on."""
+        return await self._get_client(relayed.engine_address).order(relayed.order)
+
+    def _get_client(self, engine_address: str) -> engineclient.EngineClient:
+        address = engine_address or self._part.engine_address
+        if address not in self._clients:
+            if len(self._clients) >= CLIENTS_MAX:
+                other = next(a for a in self._clients if a != self._part.engine_address)
+                self._clients.pop(other).close()
+            self._clients[address] = engineclient.EngineClient(self._dialect, address)
+        return self._clients[address]
+
     async def drain(self) -> None:
         """Does nothing; the coordinator does without this agent."""
 
     async def close(self) -> None:
         """Closes everything at once."""
         await self._server.close()
-        self._client.close()
+        for client in self._clients.values():
+            client.close()
 
 
 async def run_engineagent(source: settings.SettingsSource) -> int:
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/engineroutes.py
@@ -0,0 +1,214 @@
+"""Reaches engines: through their agents, straight, or through another's agent.
+
+The agent beside an engine reads it fresh and for nothing. Where it is silent the
+engine is called from here, which costs more. A host may also be cut off from the
+log hosts only; then the agent of another engine still reaches it, so that a pass
+that is held there is released.
+"""
+
+import collections.abc
+import enum
+import typing
+
+import loguru
+
+from lycheegauge import errors
+from lycheegauge.internal.protocol import maporders
+from lycheegauge.internal.protocol.generated import services_grpc
+from lycheegauge.internal.transport import clock, peers
+
+PATIENT_TIMEOUT_S = 0.3
+"""How long an agent may take while nothing waits for it; a busy host takes some
+tenths of a second."""
+
+URGENT_TIMEOUT_S = 0.12
+"""Likewise while a pass is held: several times an undisturbed call, and less than
+the time until the held pass is due."""
+
+AVOIDED_S = 5.0
+"""A way that failed is tried again after so long, unless no other is left."""
+
+RELAYS_MAX = 2
+"""Other agents that are asked in one look; more would only repeat their failure."""
+
+
+class Way(enum.Enum):
+    """How an engine is reached, in the order in which ways are tried."""
+
+    AGENT = "its agent"
+    STRAIGHT = "a call from here"
+    RELAY = "another engine's agent"
+
+
+class Engine(typing.Protocol):
+    """A client that calls one engine straight."""
+
+    async def observe(
+        self, question: maporders.EngineQuestion
+    ) -> maporders.EngineReport:
+        """Reads the engine's state."""
+
+    async def order(self, order: maporders.MapOrder) -> maporders.MapOrderReply:
+        """Passes an order on."""
+
+    def close(self) -> None:
+        """Closes the connections."""
+
+
+class EngineRoutes:
+    """Owns the ways to all engines of one leadership.
+
+    Args:
+        pool: The channels to the agents.
+        agent_port: The port on which agents listen, beside their engines.
+        make_engine: Makes a client for an engine's address.
+    """
+
+    def __init__(
+        self,
+        pool: peers.ChannelPool,
+        agent_port: int,
+        make_engine: collections.abc.Callable[[str], Engine],
+    ) -> None:
+        self._pool = pool
+        self._agent_port = agent_port
+        self._make_engine = make_engine
+        self._engines: dict[str, Engine] = {}
+        self._avoided_until: dict[tuple[str, Way], float] = {}
+        self._turn = 0
+
+    def close(self) -> None:
+        """Closes the connections to engines."""
+        for engine in self._engines.values():
+            engine.close()
+
+    async def observe(
+        self,
+        address: str,
+        question: maporders.EngineQuestion,
+        others: collections.abc.Sequence[str],
+        is_urgent: bool,
+    ) -> maporders.EngineReport | None:
+        """Reads an engine's state; ``None`` if no way leads to it.
+
+        Args:
+            address: The engine's address.
+            question: What is asked. Counts cost much from afar, so they are asked
+                of its own agent only.
+            others: Addresses of other engines, whose agents may relay.
+            is_urgent: Whether a pass is held until the answer is there.
+        """
+        afar = maporders.EngineQuestion(False, question.experts, address)
+        for way in self._list_ways(address):
+            try:
+                if way is Way.AGENT:
+                    return await self._observe_by(address, question, is_urgent)
+                if way is Way.STRAIGHT:
+                    return await self._get_engine(address).observe(afar)
+                return await self._observe_by_relay(address, afar, others, is_urgent)
+            except errors.LycheegaugeError as error:
+                self._avoid(address, way, error)
+        return None
+
+    async def order(
+        self,
+        address: str,
+        order: maporders.MapOrder,
+        others: collections.abc.Sequence[str],
+    ) -> maporders.MapOrderOutcome:
+        """Sends an order once, by the first way that has not failed lately.
+
+        A second way would not be safer: the order may have been carried out.
+        """
+        way = self._list_ways(address)[0]
+        if way is Way.STRAIGHT:
+            return (await self._get_engine(address).order(order)).outcome
+        agent = address
+        if way is Way.RELAY:
+            relays = self._choose_relays(address, others)
+            if not relays:
+                return maporders.MapOrderOutcome.UNANSWERED
+            agent = relays[0]
+        try:
+            reply: maporders.MapOrderReply = await self._pool.call(
+                self._locate_agent(agent),
+                "order map",
+                lambda channel: services_grpc.EngineAgentStub(channel).Order,
+                maporders.RelayedOrder(order, address if agent != address else ""),
+                PATIENT_TIMEOUT_S,
+                drop_on_failure=True,
+            )
+        except errors.PeerUnreachableError as error:
+            self._avoid(address, way, error)
+            return maporders.MapOrderOutcome.UNANSWERED
+        return reply.outcome
+
+    def _list_ways(self, address: str) -> list[Way]:
+        now = clock.read_clock()
+        return sorted(
+            Way, key=lambda way: self._avoided_until.get((address, way), 0.0) > now
+        )
+
+    def _avoid(self, address: str, way: Way, error: errors.LycheegaugeError) -> None:
+        now = clock.read_clock()
+        if self._avoided_until.get((address, way), 0.0) <= now:
+            loguru.logger.warning(
+                "a way to an engine failed",
+                engine=address,
+                way=way.value,
+                detail=str(error),
+            )
+        self._avoided_until[address, way] = now + AVOIDED_S
+
+    async def _observe_by(
+        self, address: str, question: maporders.EngineQuestion, is_urgent: bool
+    ) -> maporders.EngineReport:
+        report: maporders.EngineReport = await self._pool.call(
+            self._locate_agent(address),
+            "observe engine",
+            lambda channel: services_grpc.EngineAgentStub(channel).Observe,
+            question,
+            URGENT_TIMEOUT_S if is_urgent else PATIENT_TIMEOUT_S,
+            drop_on_failure=True,
+        )
+        return report
+
+    async def _observe_by_relay(
+        self,
+        address: str,
+        question: maporders.EngineQuestion,
+        others: collections.abc.Sequence[str],
+        is_urgent: bool,
+    ) -> maporders.EngineReport:
+        failure: errors.LycheegaugeError | None = None
+        for relay in self._choose_relays(address, others):
+            try:
+                return await self._observe_by(relay, question, is_urgent)
+            except errors.LycheegaugeError as error:
+                failure = error
+        message = "no other agent is in touch"
+        raise failure or errors.PeerUnreachableError(message, "observe", address)
+
+    def _choose_relays(
+        self, address: str, others: collections.abc.Sequence[str]
+    ) -> list[str]:
+        """Chooses other engines whose agents answered, in turn."""
+        now = clock.read_clock()
+        sound = [
+            other
+            for other in others
+            if other != address
+            and self._avoided_until.get((other, Way.AGENT), 0.0) <= now
+        ]
+        self._turn += 1
+        start = self._turn % len(sound) if sound else 0
+        return (sound[start:] + sound[:start])[:RELAYS_MAX]
+
+    def _locate_agent(self, engine_address: str) -> str:
+        host, _ = peers.split_address(engine_address)
+        return f"{host}:{self._agent_port}"
+
+    def _get_engine(self, address: str) -> Engine:
+        if address not in self._engines:
+            self._engines[address] = self._make_engine(address)
+        return self._engines[address]
--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -7,16 +7,14 @@
 
 import loguru
 
-from lycheegauge import errors
 from lycheegauge.internal.coordination.groups import demand, evenshares, mapswitch
-from lycheegauge.internal.daemons import engineclient
+from lycheegauge.internal.daemons import engineclient, engineroutes
 from lycheegauge.internal.protocol import (
     enginedialects,
     maporders,
     roster,
     routetables,
 )
-from lycheegauge.internal.protocol.generated import services_grpc
 from lycheegauge.internal.transport import clock, peers
 
 OBSERVE_INTERVAL_S = 0.4
@@ -28,12 +26,21 @@
 ARM_INTERVAL_S = 0.005
 """While a pass may be held the next look follows at once."""
 
-AGENT_TIMEOUT_S = 0.3
-"""An agent that gives no answer for so long is passed over. Its engine is then
-called from here, which costs more but does not leave a held group waiting."""
+HOLD_AHEAD_S = 0.25
+"""The held pass is due after so long: arming takes about half of it. A longer lead
+would delay a switch that everybody waits for, a shorter one stop the group."""
 
-SILENCE_S = 5.0
-"""An agent that was passed over is asked again after so long."""
+HOLD_AHEAD_STEPS_MIN = 2
+"""The next pass may begin while the order is on its way."""
+
+HOLD_AHEAD_STEPS_MAX = 8
+
+URGENT_PHASES = (
+    mapswitch.Phase.ARMING,
+    mapswitch.Phase.UNDOING,
+    mapswitch.Phase.RELEASED,
+)
+"""Phases in which a pass may be held."""
 
 RELAXED_SHARE = 0.55
 """Part of the longest pause on time that a pass may take before users notice."""
@@ -98,17 +105,16 @@
         dialect: enginedialects.EngineDialect,
     ) -> None:
         self._term = term
-        self._pool = pool
-        self._agent_port = agent_port
-        self._dialect = dialect
         self._groups: dict[str, _Group] = {}
-        self._engines: dict[str, engineclient.EngineClient] = {}
-        self._silent_until: dict[str, float] = {}
+        self._routes = engineroutes.EngineRoutes(
+            pool,
+            agent_port,
+            lambda address: engineclient.EngineClient(dialect, address),
+        )
 
     def close(self) -> None:
         """Closes the connections to engines."""
-        for engine in self._engines.values():
-            engine.close()
+        self._routes.close()
 
     async def run_round(
         self,
@@ -145,31 +151,18 @@
             waits.append(_choose_wait(group.switch.phase, bool(orders)))
         return min(waits)
 
-    def _locate_agent(self, engine_address: str) -> str:
-        host, _ = peers.split_address(engine_address)
-        return f"{host}:{self._agent_port}"
-
-    def _get_engine(self, address: str) -> engineclient.EngineClient:
-        if address not in self._engines:
-            self._engines[address] = engineclient.EngineClient(self._dialect, address)
-        return self._engines[address]
-
-    def _is_agent_silent(self, address: str) -> bool:
-        return clock.read_clock() < self._silent_until.get(address, 0.0)
-
-    def _note_silence(self, address: str, error: errors.LycheegaugeError) -> None:
-        self._silent_until[address] = clock.read_clock() + SILENCE_S
-        loguru.logger.warning(
-            "an agent is silent, its engine is called from here",
-            engine=address,
-            detail=str(error),
-        )
-
     async def _observe(
         self, addresses: dict[str, str], question: maporders.EngineQuestion
     ) -> dict[str, maporders.EngineReport]:
+        is_urgent = any(
+            group.switch.phase in URGENT_PHASES for group in self._groups.values()
+        )
+        others = list(addresses.values())
         answers = await asyncio.gather(
-            *(self._ask(address, question) for address in addresses.values())
+            *(
+                self._routes.observe(address, question, others, is_urgent)
+                for address in others
+            )
         )
         return {
             server: report
@@ -177,35 +170,6 @@
             if report is not None
         }
 
-    async def _ask(
-        self, address: str, question: maporders.EngineQuestion
-    ) -> maporders.EngineReport | None:
-        if not self._is_agent_silent(address):
-            try:
-                return await self._ask_agent(address, question)
-            except errors.PeerUnreachableError as error:
-                self._note_silence(address, error)
-        try:
-            # Counts cost much from afar; the other ranks' serve for a while.
-            asked = maporders.EngineQuestion(counts=False, experts=question.experts)
-            return await self._get_engine(address).observe(asked)
-        except errors.LycheegaugeError as error:
-            loguru.logger.debug(str(error), step="observe", peer=address)
-            return None
-
-    async def _ask_agent(
-        self, address: str, question: maporders.EngineQuestion
-    ) -> maporders.EngineReport:
-        report: maporders.EngineReport = await self._pool.call(
-            self._locate_agent(address),
-            "observe engine",
-            lambda channel: services_grpc.EngineAgentStub(channel).Observe,
-            question,
-            AGENT_TIMEOUT_S,
-            drop_on_failure=True,
-        )
-        return report
-
     def _get_group(self, name: str) -> _Group:
         if name not in self._groups:
             self._groups[name] = _Group(
@@ -239,7 +203,7 @@
                 for placement in group.target
             ),
         )
-        group.switch.set_target(target, now)
+        group.switch.set_target(target, now, _choose_lead(group.pass_s))
         return group.switch.decide(reports, now)
 
     def _follow_version(
@@ -325,33 +289,17 @@
         orders: list[mapswitch.RankOrder],
         located: dict[tuple[str, int], str],
     ) -> None:
+        others = [place for (at, _), place in located.items() if at == name]
         outcomes = await asyncio.gather(
-            *(self._order(located[name, item.rank], item.order) for item in orders)
+            *(
+                self._routes.order(located[name, item.rank], item.order, others)
+                for item in orders
+            )
         )
         now = clock.read_clock()
         for item, outcome in zip(orders, outcomes, strict=True):
             group.switch.note_reply(item, outcome, now)
 
-    async def _order(
-        self, address: str, order: maporders.MapOrder
-    ) -> maporders.MapOrderOutcome:
-        if self._is_agent_silent(address):
-            answered = await self._get_engine(address).order(order)
-            return answered.outcome
-        try:
-            reply: maporders.MapOrderReply = await self._pool.call(
-                self._locate_agent(address),
-                "order map",
-                lambda channel: services_grpc.EngineAgentStub(channel).Order,
-                order,
-                AGENT_TIMEOUT_S,
-                drop_on_failure=True,
-            )
-        except errors.PeerUnreachableError as error:
-            self._note_silence(address, error)
-            return maporders.MapOrderOutcome.UNANSWERED
-        return reply.outcome
-
 
 def _measure(
     placements: collections.abc.Sequence[evenshares.Placement],
@@ -365,6 +313,12 @@
     )
 
 
+def _choose_lead(pass_s: float) -> int:
+    """Chooses how many passes ahead a switch holds one."""
+    steps = math.ceil(HOLD_AHEAD_S / pass_s) if pass_s > 0.0 else HOLD_AHEAD_STEPS_MAX
+    return min(HOLD_AHEAD_STEPS_MAX, max(HOLD_AHEAD_STEPS_MIN, steps))
+
+
 def _choose_wait(phase: mapswitch.Phase, has_orders: bool) -> float:
     """Chooses when to look again.
 
--- a/src/lycheegauge/internal/protocol/maporders.py
+++ b/src/lycheegauge/internal/protocol/maporders.py
@@ -15,10 +15,12 @@
     Attributes:
         counts: Whether to tell how often each expert was chosen.
         experts: Whether to tell which experts the rank holds.
+        engine_address: The engine to ask; empty for the agent's own.
     """
 
     counts: bool
     experts: bool = False
+    engine_address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +99,14 @@
     layers: tuple[LayerPlacement, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedOrder:
+    """An order for an agent to pass on; without an address to its own engine."""
+
+    order: MapOrder
+    engine_address: str = ""
+
+
 class MapOrderOutcome(enum.StrEnum):
     """How an engine answered an order."""
 
--- /dev/null
+++ b/tests/steps/engineroutes.py
@@ -0,0 +1,138 @@
+import asyncio
+
+import behave
+
+from lycheegauge import errors
+from lycheegauge.internal.daemons import engineroutes, mapcoordination
+from lycheegauge.internal.protocol import maporders
+from lycheegauge.internal.transport import clock
+
+PORT = 7000
+ENGINES = [f"10.0.0.{number}:80" for number in range(1, 5)]
+QUESTION = maporders.EngineQuestion(counts=True)
+
+
+class Network:
+    """Agents and engines as a log host sees them; ``cut`` hosts give no answer."""
+
+    def __init__(self, cut=(), is_dark=False):
+        self.cut = set(cut)
+        self.is_dark = is_dark
+        self.orders = []
+
+    def make_routes(self):
+        return engineroutes.EngineRoutes(self, PORT, lambda a: Engine(self, a))
+
+    async def call(self, address, step, method, message, timeout_s, drop_on_failure):
+        host = address.split(":")[0]
+        assert address == f"{host}:{PORT}" and drop_on_failure
+        if host in self.cut or self.is_dark:
+            await asyncio.sleep(timeout_s)
+            raise errors.PeerUnreachableError("no answer", step, address)
+        engine = message.engine_address or f"{host}:80"
+        if step == "order map":
+            self.orders.append((engine, message.order))
+            return maporders.MapOrderReply(maporders.MapOrderOutcome.DONE)
+        return make_report(engine, message)
+
+
+class Engine:
+    def __init__(self, network, address):
+        self.network, self.address = network, address
+
+    async def observe(self, question):
+        await self.reach()
+        return make_report(self.address, question)
+
+    async def order(self, order):
+        await self.reach()
+        self.network.orders.append((self.address, order))
+        return maporders.MapOrderReply(maporders.MapOrderOutcome.DONE)
+
+    async def reach(self):
+        if self.address.split(":")[0] in self.network.cut or self.network.is_dark:
+            await asyncio.sleep(0.1)
+            raise errors.PeerUnreachableError("no answer", "ask", self.address)
+
+
+def make_report(engine, question):
+    counts = (1, 2, 3) if question.counts else ()
+    return maporders.EngineReport(
+        engine, "g", 1, 0, 4, True, False, 1.0, 5, 0, -1, -1, -1, 9, counts
+    )
+
+
+def make_order():
+    return maporders.MapOrder(maporders.MapOrderKind.GO, 1, 7, step=9)
+
+
+@behave.given("engines of which the first is cut off from the log hosts")
+def cut_first(context):
+    context.network = Network(cut={"10.0.0.1"})
+    context.routes = context.network.make_routes()
+
+
+@behave.given("engines that nobody reaches for a while")
+def cut_all(context):
+    context.network = Network(is_dark=True)
+    context.routes = context.network.make_routes()
+
+
+def observe(context, address, others=tuple(ENGINES)):
+    return asyncio.run(context.routes.observe(address, QUESTION, others, True))
+
+
+@behave.then("its state is read through another agent within {limit:g} seconds")
+def check_relayed(context, limit):
+    started = clock.read_clock()
+    report = observe(context, ENGINES[0])
+    elapsed_s = clock.read_clock() - started
+    assert report is not None and report.server == ENGINES[0]
+    assert elapsed_s <= limit, elapsed_s
+    # The ways that failed are left out at the next look.
+    started = clock.read_clock()
+    assert observe(context, ENGINES[0]).server == ENGINES[0]
+    assert clock.read_clock() - started < 0.1
+
+
+@behave.then("an order to it is carried out once, through another agent")
+def check_order(context):
+    order = make_order()
+    outcome = asyncio.run(context.routes.order(ENGINES[0], order, ENGINES))
+    assert outcome is maporders.MapOrderOutcome.DONE
+    assert context.network.orders == [(ENGINES[0], order)]
+
+
+@behave.then("without other agents there is no way to it")
+def check_no_way(context):
+    assert observe(context, ENGINES[0], others=()) is None
+
+
+@behave.then("its state comes without counts, those of the others with them")
+def check_counts(context):
+    assert observe(context, ENGINES[0]).counts == ()
+    for address in ENGINES[1:]:
+        assert observe(context, address).counts == (1, 2, 3)
+
+
+@behave.then("an order that meets the cut first is reported as unanswered")
+def check_unanswered(context):
+    outcome = asyncio.run(context.routes.order(ENGINES[0], make_order(), ENGINES))
+    assert outcome is maporders.MapOrderOutcome.UNANSWERED
+    assert context.network.orders == []
+
+
+@behave.then("they are reached again as soon as the cut has healed")
+def check_healed(context):
+    assert observe(context, ENGINES[0]) is None
+    context.network.is_dark = False
+    assert observe(context, ENGINES[0]).counts == (1, 2, 3)
+
+
+@behave.then("a switch holds a pass some tenths of a second ahead")
+def check_lead(context):
+    for pass_ms in (5, 40, 52, 120, 355, 900):
+        pass_s = pass_ms / 1000
+        lead = mapcoordination._choose_lead(pass_s)
+        assert lead >= 2, "the next pass may begin before the order arrives"
+        assert lead == 2 or lead == 8 or 0.25 <= lead * pass_s <= 0.25 + pass_s
