Pass over silent servers, and repeat what one of them swallowed

Change: the leader, which looks at every rank each 0.4 s, tells entry hosts which servers no way leads to. An entry host gives an attempt up once its first byte is 2.5 targets late, its server sent nothing since, and others of the service go on; only where the request may be repeated, on another server, with budget left. A held group stands still as a whole and is waited for. A starting host answers before callers of streams leave.

Ruled out: a fixed limit for the first byte; in a queue or behind a held pass it would send everything twice. Before: what may be repeated waited for its deadline at a mute server.

--- a/src/lycheegauge/internal/coordination/repeatbudget.py
+++ b/src/lycheegauge/internal/coordination/repeatbudget.py
@@ -33,11 +33,15 @@
         self._requests.append(now)
         self._forget(now)
 
-    def spend(self, hosts: int, now: float) -> bool:
-        """Takes one repeat, if one is left for this of ``hosts`` hosts."""
+    def has_left(self, hosts: int, now: float) -> bool:
+        """Tells whether a repeat is left for this of ``hosts`` hosts."""
         self._forget(now)
         slack = self._slack * SPARE_SHARE / max(1, hosts)
-        if len(self._repeats) + 1 > self._ratio * len(self._requests) + slack:
+        return len(self._repeats) + 1 <= self._ratio * len(self._requests) + slack
+
+    def spend(self, hosts: int, now: float) -> bool:
+        """Takes one repeat, if one is left."""
+        if not self.has_left(hosts, now):
             return False
         self._repeats.append(now)
         return True
--- a/src/lycheegauge/internal/coordination/rosterbook.py
+++ b/src/lycheegauge/internal/coordination/rosterbook.py
@@ -94,6 +94,16 @@
             known.heard_at = now
         return True
 
+    def mark_silent(self, name: str, is_silent: bool) -> bool:
+        """Notes whether a server can be reached; returns whether that is news."""
+        known = self._servers.get(name)
+        if known is None or known.listing.silent == is_silent:
+            return False
+        self._cursor += 1
+        known.listing = dataclasses.replace(known.listing, silent=is_silent)
+        known.changed = self._cursor
+        return True
+
     def remove_server(self, departure: roster.Departure) -> None:
         """Removes an incarnation that left; a later one of the same id stays."""
         known = self._servers.get(departure.server)
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -32,9 +32,10 @@
 nothing; each still spends the budget of repeats."""
 
 CONNECT_TRIES_MAX = 3
-START_WAIT_MAX_S = 2.5
-"""A host that started with all others knows the table after an election and a
-pull, and the servers after one interval of their announcements, in seconds."""
+START_WAIT_MAX_S = 1.8
+"""A host that started with all others mostly knows the table and the servers within
+it, in seconds. Many callers of streams leave after two seconds without an event, so
+a request that would wait for longer is told in time when to come back."""
 
 START_WAIT_SHARE = 2
 """A caller waits for a starting host at most this part of its time."""
@@ -66,6 +67,7 @@
         self._priority: int | None = None
         self._deadline = math.inf
         self._tried: set[str] = set()
+        self._server = ""
         self._runs = 0
         self._refusals = 0
         self._may_have_run = False
@@ -234,13 +236,14 @@
         )
         shared.note_sent(server.name)
         self._tried.add(server.name)
+        self._server = server.name
         is_complete = False
         sent_at = clock.read_clock()
         try:
             connection.send(self._make_head(server), self._exchange.body)
             was_run, self._may_have_run = self._may_have_run, True
             self._runs += 1
-            head = await connection.read_head()
+            head = await self._read_head(server, connection)
             self._note_answer(server, head)
             verdict = self._judge(head)
             if verdict is forwardrules.Verdict.NOT_RUN:
@@ -278,6 +281,24 @@
             else:
                 connection.abort()
 
+    async def _read_head(
+        self, server: roster.ServerListing, connection: upstream.UpstreamConnection
+    ) -> upstream.AnswerHead:
+        """Waits for an answer; a lost one is given up where it can be repeated."""
+        assert self._route is not None
+        shared = self._shared
+        if not (self._route.repetition.is_idempotent and self._can_repeat_run()):
+            head = await connection.read_head()
+        else:
+            watch = shared.watch_silence(connection, server, self._route)
+            watch.start()
+            try:
+                head = await connection.read_head()
+            finally:
+                watch.close()
+        shared.progress.note_part(server.name, clock.read_clock())
+        return head
+
     def _make_head(self, server: roster.ServerListing) -> upstream.RequestHead:
         exchange, names = self._exchange, self._names
         own = {
@@ -356,21 +377,21 @@
         held = bytearray()
         while part := await connection.read_body():
             if self._exchange.is_started:
-                await self._exchange.write(part)
+                await self._write(part)
                 continue
             held += part
             if len(held) > HELD_BODY_MAX_BYTES:
                 self._start(head)
-                await self._exchange.write(bytes(held))
+                await self._write(bytes(held))
         if not self._exchange.is_started:
             self._start(head)
             if held:
-                await self._exchange.write(bytes(held))
+                await self._write(bytes(held))
         self._exchange.finish()
 
     async def _pass_on_parts(self, connection: upstream.UpstreamConnection) -> None:
         while part := await connection.read_body():
-            await self._exchange.write(part)
+            await self._write(part)
         self._exchange.finish()
 
     async def _pass_on_events(
@@ -388,13 +409,19 @@
                 continue
             if not self._exchange.is_started:
                 self._start(head)
-            await self._exchange.write(events)
+            await self._write(events)
         if not self._exchange.is_started:
             self._start(head)
         if cutter.has_rest:
-            await self._exchange.write(cutter.take_rest())
+            await self._write(cutter.take_rest())
         self._exchange.finish()
 
+    async def _write(self, part: bytes) -> None:
+        now = clock.read_clock()
+        self._record.note_part(now)
+        self._shared.progress.note_part(self._server, now)
+        await self._exchange.write(part)
+
     def _start(self, head: upstream.AnswerHead) -> None:
         made = tornado.httputil.HTTPHeaders()
         for name, text in headers.pass_on_headers(head.headers):
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -16,13 +16,14 @@
     crashes,
     crashwatch,
     forwardrules,
+    progress,
     repeatbudget,
     rosterview,
     routeindex,
     serverchoice,
     waitforecast,
 )
-from lycheegauge.internal.daemons import forwardedrequest, loadsharing
+from lycheegauge.internal.daemons import forwardedrequest, loadsharing, silencewatch
 from lycheegauge.internal.protocol import (
     changes,
     controlcalls,
@@ -54,6 +55,9 @@
 """Part of a server's connections that all entry hosts together use; it resets what
 is beyond, and probes and other callers need some."""
 
+PROGRESS_KEPT_S = 10.0
+"""What a server sent is remembered for longer than a request takes, in seconds."""
+
 START_WAITERS_MAX = 256
 """Requests that may wait for the start; each holds its body in memory."""
 
@@ -84,6 +88,7 @@
         self.chance = random.Random()
         self.choice = serverchoice.ServerChoice(self.chance)
         self.ramp = coldramp.ColdRamp()
+        self.progress = progress.ServerProgress()
         self.crashwatch = crashwatch.CrashWatch()
         self.stopping = False
         self.on_load_changed: collections.abc.Callable[[], None] = _do_nothing
@@ -180,6 +185,7 @@
 
     def sweep(self) -> None:
         """Closes kept connections that are old or whose server is gone."""
+        self.progress.forget(clock.read_clock() - PROGRESS_KEPT_S)
         servers = self.view.servers.values()
         self.pool.sweep({server.incarnation for server in servers})
 
@@ -268,6 +274,7 @@
         usable = [s for s in usable if self.can_connect(s, declared.connections_max)]
         if not usable:
             return self.refuse(work.RefusalReason.BACKEND_SERVERS_FULL)
+        usable = [server for server in usable if not server.silent] or usable
         fresh = [server for server in usable if server.name not in tried] or usable
         allowed = [s for s in fresh if self._bears(s, declared, now)]
         if not allowed:
@@ -288,6 +295,25 @@
         self.choice.note_ended(server)
         self.on_load_changed()
 
+    def watch_silence(
+        self,
+        connection: upstream.UpstreamConnection,
+        server: roster.ServerListing,
+        route: routetables.Route,
+    ) -> silencewatch.SilenceWatch:
+        """Makes the watch over an attempt that may be repeated elsewhere."""
+        sent_at = clock.read_clock()
+
+        def is_lost() -> bool:
+            now = clock.read_clock()
+            budget = self.get_budget(server.service)
+            return self.progress.is_left_behind(
+                server.name, sent_at, now
+            ) and budget.has_left(self.host_count, now)
+
+        late_after_s = progress.SILENT_TARGETS * route.target_first_s
+        return silencewatch.SilenceWatch(connection, late_after_s, is_lost)
+
     def is_crowded(self, now: float) -> bool:
         """Tells whether most slots of some service are busy."""
         if self.index is None:
--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -87,6 +87,19 @@
     target: list[evenshares.Placement] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Look:
+    """What a look at a service's groups found.
+
+    Attributes:
+        wait_s: When the next look is due, in seconds from now.
+        silent: Names of the servers that no way led to.
+    """
+
+    wait_s: float
+    silent: frozenset[str]
+
+
 class MapCoordination:
     """Owns the groups of one leadership.
 
@@ -121,7 +134,7 @@
         service: routetables.ServiceDeclaration,
         servers: collections.abc.Sequence[roster.ServerListing],
         target_gap_s: float,
-    ) -> float:
+    ) -> Look:
         """Looks at a service's groups and sends what is due.
 
         Args:
@@ -130,7 +143,7 @@
             target_gap_s: The longest pause between events that is on time.
 
         Returns:
-            When the next look is due, in seconds from now.
+            When the next look is due, and which servers no way led to.
         """
         assert service.experts is not None
         addresses = {server.name: server.address for server in servers}
@@ -149,7 +162,11 @@
             orders = self._decide(name, group, ranks, service.experts, target_gap_s)
             await self._send(group, name, orders, located)
             waits.append(_choose_wait(group.switch.phase, bool(orders)))
-        return min(waits)
+        silent = frozenset(addresses.keys() - reports.keys())
+        if 2 * len(silent) > len(addresses):
+            # It is rather this host that is cut off.
+            silent = frozenset()
+        return Look(min(waits), silent)
 
     async def _observe(
         self, addresses: dict[str, str], question: maporders.EngineQuestion
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import dataclasses
+import importlib
 import random
 import typing
 import uuid
-import zlib
 
 import loguru
 from returns import result
@@ -17,7 +17,6 @@
     leaderproofs,
     lifecycle,
     logclock,
-    mapcoordination,
     replicasender,
     replication,
     rosterclient,
@@ -26,10 +25,8 @@
     agreement,
     changes,
     controlcalls,
-    enginedialects,
     freshness,
     roster,
-    routetables,
 )
 from lycheegauge.internal.protocol.generated import services_grpc
 from lycheegauge.internal.state import journal, machine, quarantine, routing
@@ -43,8 +40,8 @@
     heartbeat_s=0.2,
     election_min_s=0.8,
     election_max_s=1.6,
-    first_election_min_s=0.25,
-    first_election_max_s=0.6,
+    first_election_min_s=0.12,
+    first_election_max_s=0.35,
     read_interval_s=0.05,
     replace_after_s=2.5,
 )
@@ -60,6 +57,9 @@
 """Announcement intervals without a sign of life until a server is taken out."""
 HOST_LIFETIME_S = 2.0
 HOUSEKEEPING_INTERVAL_S = 0.25
+MAPS_DELAY_S = 1.0
+"""So long after its start a host begins to look after expert maps, in seconds."""
+
 REOPEN_PAUSE_S = 1.0
 """A replica whose disk failed tries its journal again this often."""
 RELAY_TIMEOUT_S = 2.0
@@ -76,8 +76,6 @@
     ) -> None:
         self.part = part
         self._dialect = dialect
-        self._read_document: roster.RouteDocument | None = None
-        self._table = routetables.RouteTable(0, (), ())
         self.address = part.peer_address
         self._pool = pool
         self._log_clock = logclock.LogClock()
@@ -332,61 +330,12 @@
 
     async def _keep_maps(self) -> None:
         """Has expert maps follow demand while this host leads."""
-        coordination: mapcoordination.MapCoordination | None = None
-        term = 0
-        while True:
-            wait_s = mapcoordination.OBSERVE_INTERVAL_S
-            if self.task.is_leader:
-                if coordination is None or term != self.task.term:
-                    term = self.task.term
-                    _, port = peers.split_address(self.address)
-                    if coordination is not None:
-                        coordination.close()
-                    coordination = mapcoordination.MapCoordination(
-                        term,
-                        self._pool,
-                        port,
-                        enginedialects.get_dialect(self.part.dialect),
-                    )
-                try:
-                    wait_s = await self._run_maps(coordination)
-                except (KeyError, ValueError, ArithmeticError) as error:
-                    # The maps stay as they are; requests do not depend on them.
-                    loguru.logger.opt(exception=error).error("maps not planned")
-            await asyncio.sleep(wait_s)
-
-    async def _run_maps(self, coordination: mapcoordination.MapCoordination) -> float:
-        """Looks at all groups once; returns when to look again, in seconds."""
-        wait_s = mapcoordination.OBSERVE_INTERVAL_S
-        for service in self._list_grouped_services():
-            servers = [
-                server
-                for server in self.get_book().list_servers()
-                if server.service == service.name
-            ]
-            if servers:
-                gap_s = min(
-                    (
-                        route.target_gap_s
-                        for route in self._table.routes
-                        if any(part.service == service.name for part in route.services)
-                    ),
-                    default=1.0,
-                )
-                asked = await coordination.run_round(service, servers, gap_s)
-                wait_s = min(wait_s, asked)
-        return wait_s
-
-    def _list_grouped_services(self) -> list[routetables.ServiceDeclaration]:
-        """Lists the services whose backend servers run in lock step."""
-        document = self.routing.table
-        if document is None:
-            return []
-        if document is not self._read_document:
-            read = self._dialect.read_table(zlib.decompress(document.body))
-            self._read_document = document
-            self._table = read.unwrap()
-        return [item for item in self._table.services if item.experts is not None]
+        # Planning takes a good part of the time to load; elections go first.
+        await asyncio.sleep(MAPS_DELAY_S)
+        module = await asyncio.to_thread(
+            importlib.import_module, "lycheegauge.internal.daemons.mapkeeping"
+        )
+        await module.MapKeeper(self, self._pool, self._dialect).run()
 
     async def _keep_following(self) -> None:
         """Mirrors the leader's book, and looks for a leader while there is none."""
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -21,6 +21,7 @@
         slots: Requests that it runs at once.
         cold_s: How long it stays cold, in seconds from this message.
         leaving: Whether it asked for no new work.
+        silent: Whether the log's leader finds no way to it.
     """
 
     name: str
@@ -32,6 +33,7 @@
     slots: int
     cold_s: float
     leaving: bool = False
+    silent: bool = False
 
     @property
     def incarnation(self) -> str:
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -183,6 +183,10 @@
             parts.append(bytes(self._take_event().data))
         return b"".join(parts)
 
+    def break_off(self, reason: str) -> None:
+        """Closes the connection; whoever waits for its answer fails with a reason."""
+        self._fail(reason)
+
     def abort(self) -> None:
         """Closes the connection at once, so that the server stops its work."""
         self._failure = self._failure or "aborted"
--- a/tests/processes/forwarding.feature
+++ b/tests/processes/forwarding.feature
@@ -24,6 +24,10 @@
     And the same request of another organisation is not
     And the quarantine outlives the death of all log hosts
 
+  Scenario: A server that falls silent does not keep its callers waiting
+    Then what may be repeated is answered elsewhere while others answer
+    And what may not be repeated is sent once
+
   Scenario: Changed settings are taken without a restart
     Then a gateway takes other seeds on a signal and when their file changes
     And settings that can't be read change nothing
--- a/tests/properties/forwarding.feature
+++ b/tests/properties/forwarding.feature
@@ -30,6 +30,10 @@
   Scenario: A server that fails is left out for longer each time
     Then a failing server is left out and tried again
 
+  Scenario: A late answer is given up only while others answer
+    Then a server is left behind when it alone is silent (frozen host)
+    And a group that stands still as a whole is waited for (held pass)
+
   Scenario: Streams are cut only between events
     Then any cutting of a stream gives whole events and the last id
 
--- a/tests/properties/roster.feature
+++ b/tests/properties/roster.feature
@@ -8,6 +8,9 @@
   Scenario: An asker that names its cursor gets only what changed
     Then any series of changes leaves a follower with the leader's book
 
+  Scenario: A server that nobody reaches is passed over
+    Then entry hosts hear of a silent server and of its next sign of life
+
   Scenario: A departure outlives the leader that acknowledged it
     Then a departed server gets no work though a new leader lists it
     And a server that starts again under its id gets work
--- a/tests/steps/forwardingfleet.py
+++ b/tests/steps/forwardingfleet.py
@@ -2,6 +2,7 @@
 import http.client
 import json
 import signal
+import threading
 import time
 
 import behave
@@ -189,6 +190,53 @@
     assert fleet.request("/safe/poison", "again-p").status == 422
 
 
+@behave.then("what may be repeated is answered elsewhere while others answer")
+def check_silent(context):
+    fleet = context.fleet
+    processes.wait_until(
+        lambda: (
+            fleet.request("/safe/a", "known").status == 200
+            and all(server.runs["known"] for server in fleet.servers)
+        ),
+        "the gateway knows all servers",
+    )
+    fleet.servers[0].is_mute = True
+
+    def ask(number):
+        path = "/stream/a" if number % 2 else "/safe/a"
+        started = time.monotonic()
+        answer = fleet.request(path, f"m{number}")
+        return answer, time.monotonic() - started
+
+    def keep_asking():
+        number = 1000
+        while not done.is_set():
+            fleet.request("/stream/a", f"m{number}")
+            number += 1
+
+    done = threading.Event()
+    others = threading.Thread(target=keep_asking)
+    others.start()
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        answers = list(pool.map(ask, range(48)))
+    done.set()
+    others.join()
+    assert {answer.status for answer, _ in answers} == {200}, answers
+    repeated = [n for n in range(48) if fleet.count_runs(f"m{n}") == 2]
+    assert repeated, "the silent server got no request"
+    # A stream takes 0.4 s; the silence may cost twice its limit of 0.5 s.
+    assert max(took_s for _, took_s in answers) < 2.0, answers
+
+
+@behave.then("what may not be repeated is sent once")
+def check_silent_unsafe(context):
+    fleet = context.fleet
+    for server in fleet.servers:
+        server.is_mute = True
+    answer = fleet.request("/unsafe/a", "mute", **{"Lycheegauge-Deadline-Ms": "1500"})
+    assert answer.status == 504 and fleet.count_runs("mute") == 1
+
+
 @behave.then("a gateway takes other seeds on a signal and when their file changes")
 def check_reload(context):
     fleet = context.fleet
--- a/tests/steps/roster.py
+++ b/tests/steps/roster.py
@@ -50,6 +50,20 @@
     assert not book.find_server("a").leaving
 
 
+@behave.then("entry hosts hear of a silent server and of its next sign of life")
+def check_silent(context):
+    book, view = make_book(), rosterview.RosterView()
+    book.take_announcement(make_server("a"), 0.0)
+    pull(view, book, 0.0)
+    assert book.mark_silent("a", True) and not book.mark_silent("a", True)
+    assert not book.mark_silent("unknown", True)
+    pull(view, book, 1.0)
+    assert view.servers["a"].silent
+    book.take_announcement(make_server("a", sequence=2), 1.1)
+    pull(view, book, 1.2)
+    assert not view.servers["a"].silent
+
+
 @behave.then("an announcement of an older start does not take an address back")
 def check_rival(context):
     book = make_book()
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -37,6 +37,7 @@
         self.refuses = False
         self.fails_resumed = False
         self.crashes = 0
+        self.is_mute = False
         self.writers = []
         self.leaving = False
         self.sequence = 0
@@ -130,6 +131,8 @@
             )
             return
         self.runs[request_id] += 1
+        if self.is_mute:
+            return
         if target.endswith("/poison"):
             self.crash()
             return
@@ -238,6 +241,7 @@
                     "name": prefix.strip("/"), "host": "shop.example",
                     "path_prefix": prefix, "services": [{"service": "drafting"}],
                     "repetition": repetition, "timeout_s": 5.0,
+                    "target_first_s": 0.2,
                 }
                 for prefix, repetition in repetitions.items()
             ],
