--- a/src/lycheegauge/internal/daemons/engineagent.py
+++ b/src/lycheegauge/internal/daemons/engineagent.py
@@ -6,9 +6,9 @@
 
 import loguru
 
-from lycheegauge import settings
+from lycheegauge import metrics, settings
 from lycheegauge.internal import logs
-from lycheegauge.internal.daemons import engineclient, lifecycle
+from lycheegauge.internal.daemons import engineclient, lifecycle, metricslistener
 from lycheegauge.internal.protocol import enginedialects, maporders
 from lycheegauge.internal.transport import peers, services
 
@@ -25,6 +25,13 @@
         self._clients: dict[str, engineclient.EngineClient] = {}
         service = services.EngineAgentService(self.observe, self.order)
         self._server = peers.PeerServer(part.peer_address, [service])
+        self._metrics = metrics.Metrics()
+        self._metrics.observe(
+            "lycheegauge_engines", "Engines called", lambda: len(self._clients)
+        )
+        self._metrics_listener = metricslistener.MetricsListener(
+            part.metrics_address, self._metrics, part.limits
+        )
 
     async def start(self) -> None:
         """Starts listening.
@@ -33,6 +40,7 @@
             OSError: The address can't be listened on.
         """
         address = await self._server.start()
+        await self._metrics_listener.start()
         loguru.logger.info(
             "started", step="start", address=address, engine=self._part.engine_address
         )
@@ -49,7 +57,9 @@
 
     async def order(self, relayed: maporders.RelayedOrder) -> maporders.MapOrderReply:
         """Passes an order on."""
-        return await self._get_client(relayed.engine_address).order(relayed.order)
+        reply = await self._get_client(relayed.engine_address).order(relayed.order)
+        self._metrics.count_order(reply.outcome.value)
+        return reply
 
     def _get_client(self, engine_address: str) -> engineclient.EngineClient:
         address = engine_address or self._part.engine_address
@@ -66,6 +76,8 @@
     async def close(self) -> None:
         """Closes everything at once."""
         await self._server.close()
+        await self._metrics_listener.close()
+        self._metrics.close()
         for client in self._clients.values():
             client.close()
 
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -161,9 +161,15 @@
 
     async def _keep_pulling(self) -> None:
         while True:
+            asked = self._client.address
             is_answered = await self._pull_once()
-            interval_s = self.part.roster.pull_interval_s
-            await asyncio.sleep(interval_s if is_answered else RETRY_INTERVAL_S)
+            if is_answered:
+                await asyncio.sleep(self.part.roster.pull_interval_s)
+            elif self._client.is_leader_told and self._client.address != asked:
+                # Callers may be waiting for what the leader just named tells.
+                continue
+            else:
+                await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _pull_once(self) -> bool:
         """Asks for news once; returns whether a leader answered."""
--- a/src/lycheegauge/internal/daemons/metricslistener.py
+++ b/src/lycheegauge/internal/daemons/metricslistener.py
@@ -1,5 +1,7 @@
 """Serves a process's metrics on an address of its own."""
 
+import asyncio
+
 from lycheegauge import metrics, settings
 from lycheegauge.internal.transport import controlapi, web
 
@@ -42,4 +44,6 @@
     async def _answer(self, method: str, target: str, _: bytes) -> controlapi.Answer:
         if method != "GET" or target.partition("?")[0] != "/metrics":
             return controlapi.Answer(NOT_FOUND)
+        # Loading takes longer than a stream may pause.
+        await asyncio.to_thread(self._metrics.load_library)
         return controlapi.Answer(OK, self._metrics.export(), "text/plain")
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -27,6 +27,8 @@
         self, shared: "forwarder.Forwarder", request_id: str, arrived_at: float
     ) -> None:
         self.first_at: float | None = None
+        self._part_at: float | None = None
+        self._gap_s = 0.0
         self._shared = shared
         self._id = request_id
         self._arrived_at = arrived_at
@@ -75,12 +77,19 @@
             events.AttemptFailed(self._id, server.name, was_run, detail, left_out_s)
         )
 
+    def note_part(self, now: float) -> None:
+        """Notes that a part of the answer is passed on."""
+        if self._part_at is not None:
+            self._gap_s = max(self._gap_s, now - self._part_at)
+        self._part_at = now
+
     def write_answered(self, status: int, runs: int) -> None:
         """Tells that an answer was passed on to its end, and counts its times."""
         now = clock.read_clock()
         first_s = (self.first_at or now) - self._arrived_at
         self._shared.metrics.record_first_token(first_s)
         self._shared.metrics.record_total(now - self._arrived_at)
+        self._shared.metrics.record_gap(self._gap_s)
         events.write_event(
             events.RequestAnswered(
                 self._id,
@@ -88,6 +97,7 @@
                 status,
                 round(first_s * 1000),
                 self._waited_ms,
+                round(self._gap_s * 1000),
                 runs,
             )
         )
--- a/src/lycheegauge/internal/daemons/rosterclient.py
+++ b/src/lycheegauge/internal/daemons/rosterclient.py
@@ -38,6 +38,7 @@
         self._seeds = seeds
         self._own_address = own_address
         self.hosts = [host for host in seeds if host != own_address]
+        self.is_leader_told = False
         self._current = 0
 
     @property
@@ -62,6 +63,7 @@
         self.hosts = [
             host for host in dict.fromkeys(known) if host != self._own_address
         ][:MAX_HOSTS]
+        self.is_leader_told = bool(leader_address)
         if leader_address and leader_address != self._own_address:
             if leader_address not in self.hosts:
                 self.hosts.append(leader_address)
@@ -81,6 +83,7 @@
             reply = await self.pull_from(self.address, message)
         except errors.PeerUnreachableError:
             self._current += 1
+            self.is_leader_told = False
             raise
         if reply.proof is None:
             self.take_hints(reply.leader_address, reply.log_hosts)
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -76,6 +76,7 @@
         status: Its status.
         first_ms: From the request's arrival to the first part of the answer.
         total_ms: From the request's arrival to the answer's end.
+        gap_ms: The longest pause between two parts of the answer.
         runs: Servers that may have run it.
     """
 
@@ -83,6 +84,7 @@
     status: int
     first_ms: int
     total_ms: int
+    gap_ms: int
     runs: int
 
 
--- /dev/null
+++ b/src/lycheegauge/internal/telemetry.py
@@ -0,0 +1,73 @@
+"""Exports a process's measurements through OpenTelemetry."""
+
+import collections.abc
+
+import opentelemetry.exporter.prometheus
+import opentelemetry.metrics
+import opentelemetry.sdk.metrics
+import prometheus_client
+
+COUNTERS = {
+    "refusals": ("reason", "Refused requests by reason"),
+    "retries": ("reason", "Repeated attempts by reason"),
+    "answers": ("service", "Whole answers by service"),
+    "engine_orders": ("outcome", "Orders to engines by how they were answered"),
+}
+"""Label and description of each counter."""
+
+HISTOGRAMS = {
+    "first_token": "Time to first token",
+    "total": "Time to the answer's end",
+    "gap": "Longest pause between two parts of an answer",
+}
+
+
+class Exporter:
+    """Owns the library's meter and its registry."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = opentelemetry.exporter.prometheus.PrometheusMetricReader(
+            registry=self._registry
+        )
+        self._provider = opentelemetry.sdk.metrics.MeterProvider([reader])
+        self._meter = self._provider.get_meter("lycheegauge")
+        self._counters = {
+            name: self._meter.create_counter(
+                f"lycheegauge_{name}", description=description
+            )
+            for name, (_, description) in COUNTERS.items()
+        }
+        self._histograms = {
+            name: self._meter.create_histogram(
+                f"lycheegauge_{name}", unit="s", description=description
+            )
+            for name, description in HISTOGRAMS.items()
+        }
+
+    def count(self, name: str, label: str, amount: int) -> None:
+        """Adds to a counter."""
+        self._counters[name].add(amount, {COUNTERS[name][0]: label})
+
+    def record(self, name: str, seconds: float) -> None:
+        """Adds a sample to a histogram."""
+        self._histograms[name].record(seconds)
+
+    def observe(
+        self, name: str, description: str, read: collections.abc.Callable[[], float]
+    ) -> None:
+        """Exports a value that is read whenever somebody asks."""
+        self._meter.create_observable_gauge(
+            name,
+            [lambda _: [opentelemetry.metrics.Observation(read())]],
+            description=description,
+        )
+
+    def export(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        exported: bytes = prometheus_client.generate_latest(self._registry)
+        return exported
+
+    def close(self) -> None:
+        """Shuts the provider down."""
+        self._provider.shutdown()
--- a/src/lycheegauge/metrics.py
+++ b/src/lycheegauge/metrics.py
@@ -1,14 +1,24 @@
-"""Metrics by OpenTelemetry: a counter for each refusal and retry reason."""
+"""Metrics by OpenTelemetry: a counter for each refusal and retry reason.
 
-import collections.abc
+The library takes a starting process a good part of its time to load, and callers
+wait for that process. So measurements are kept here as plain numbers until the
+metrics are first asked for.
+"""
 
-import opentelemetry.exporter.prometheus
-import opentelemetry.metrics
-import opentelemetry.sdk.metrics
-import prometheus_client
+import collections
+import collections.abc
+import importlib
+import typing
 
 from lycheegauge.internal.protocol import work
 
+EXPORTER = "lycheegauge.internal.telemetry"
+"""The module that needs the library."""
+
+UNREAD_SAMPLES_MAX = 20_000
+"""Histogram samples that wait for the first reader; the oldest go first, so that a
+process that nobody reads stays small."""
+
 
 class Metrics:
     """The counters and histograms of one process.
@@ -18,52 +28,44 @@
     """
 
     def __init__(self) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = opentelemetry.exporter.prometheus.PrometheusMetricReader(
-            registry=self._registry
-        )
-        self._provider = opentelemetry.sdk.metrics.MeterProvider([reader])
-        meter = self._provider.get_meter("lycheegauge")
-        self._refusals = meter.create_counter(
-            "lycheegauge_refusals", description="Refused requests by reason"
-        )
-        self._retries = meter.create_counter(
-            "lycheegauge_retries", description="Repeated attempts by reason"
-        )
-        self._answers = meter.create_counter(
-            "lycheegauge_answers", description="Whole answers by service"
-        )
-        self._first_token = meter.create_histogram(
-            "lycheegauge_first_token", unit="s", description="Time to first token"
+        self._exporter: typing.Any = None
+        self._counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._samples: collections.deque[tuple[str, float]] = collections.deque(
+            maxlen=UNREAD_SAMPLES_MAX
         )
-        self._total = meter.create_histogram(
-            "lycheegauge_total", unit="s", description="Time to the answer's end"
-        )
-        self._meter = meter
+        self._observed: list[tuple[str, str, collections.abc.Callable[[], float]]] = []
         for refusal_reason in work.RefusalReason:
-            self._refusals.add(0, {"reason": refusal_reason.value})
+            self._counts["refusals", refusal_reason.value] = 0
         for retry_reason in work.RetryReason:
-            self._retries.add(0, {"reason": retry_reason.value})
+            self._counts["retries", retry_reason.value] = 0
 
     def count_refusal(self, reason: work.RefusalReason) -> None:
         """Counts one refusal."""
-        self._refusals.add(1, {"reason": reason.value})
+        self._count("refusals", reason.value)
 
     def count_retry(self, reason: work.RetryReason) -> None:
         """Counts one repeated attempt."""
-        self._retries.add(1, {"reason": reason.value})
+        self._count("retries", reason.value)
 
     def count_answer(self, service: str) -> None:
         """Counts one whole answer."""
-        self._answers.add(1, {"service": service})
+        self._count("answers", service)
+
+    def count_order(self, outcome: str) -> None:
+        """Counts one order to an engine."""
+        self._count("engine_orders", outcome)
 
     def record_first_token(self, seconds: float) -> None:
         """Records the time from a request's arrival to its first token."""
-        self._first_token.record(seconds)
+        self._record("first_token", seconds)
 
     def record_total(self, seconds: float) -> None:
         """Records the time from a request's arrival to the end of its answer."""
-        self._total.record(seconds)
+        self._record("total", seconds)
+
+    def record_gap(self, seconds: float) -> None:
+        """Records the longest pause between two parts of an answer."""
+        self._record("gap", seconds)
 
     def observe(
         self,
@@ -72,17 +74,49 @@
         read: collections.abc.Callable[[], float],
     ) -> None:
         """Exports a value that is read whenever somebody asks."""
-        self._meter.create_observable_gauge(
-            name,
-            [lambda _: [opentelemetry.metrics.Observation(read())]],
-            description=description,
-        )
+        if self._exporter is None:
+            self._observed.append((name, description, read))
+        else:
+            self._exporter.observe(name, description, read)
+
+    @staticmethod
+    def load_library() -> None:
+        """Loads the library; safe in another thread while this process counts."""
+        importlib.import_module(EXPORTER)
 
     def export(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        exported: bytes = prometheus_client.generate_latest(self._registry)
+        if self._exporter is None:
+            self._open_exporter()
+        exported: bytes = self._exporter.export()
         return exported
 
     def close(self) -> None:
-        """Shuts the provider down."""
-        self._provider.shutdown()
+        """Shuts the exporter down."""
+        if self._exporter is not None:
+            self._exporter.close()
+
+    def _count(self, name: str, label: str) -> None:
+        if self._exporter is None:
+            self._counts[name, label] += 1
+        else:
+            self._exporter.count(name, label, 1)
+
+    def _record(self, name: str, seconds: float) -> None:
+        if self._exporter is None:
+            self._samples.append((name, seconds))
+        else:
+            self._exporter.record(name, seconds)
+
+    def _open_exporter(self) -> None:
+        exporter = importlib.import_module(EXPORTER).Exporter()
+        for (name, label), count in self._counts.items():
+            exporter.count(name, label, count)
+        for name, seconds in self._samples:
+            exporter.record(name, seconds)
+        for observed in self._observed:
+            exporter.observe(*observed)
+        self._counts.clear()
+        self._samples.clear()
+        self._observed.clear()
+        self._exporter = exporter
--- a/src/lycheegauge/settings.py
+++ b/src/lycheegauge/settings.py
@@ -36,7 +36,8 @@
 class Model(pydantic.BaseModel):
     """Base of all settings: unknown keys are errors, values are frozen."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    # Each process uses a few of the models only, and building one takes time.
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
 class LogVoter(Model):
@@ -192,7 +193,9 @@
     name: Name
     peer_address: Address
     engine_address: Address
+    metrics_address: Address | None = None
     dialect: str = "native"
+    limits: Limits = Limits()
     stop_timeout_s: float = pydantic.Field(default=1.0, gt=0, le=3600)
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
@@ -229,6 +232,15 @@
             errors.SettingsError: The file can't be read, a key is wrong, or it has
                 no part for the role.
         """
+        content = _load_file(self.path)
+        if isinstance(content, dict) and list(content) == [self.role]:
+            annotation = SettingsFile.model_fields[self.role].annotation
+            try:
+                # The models of other roles need not be built for it.
+                return next(_list_models(annotation)).model_validate(content[self.role])
+            except pydantic.ValidationError:
+                # Found again below, with keys as the file has them.
+                pass
         part = getattr(read_settings(self.path), self.role)
         if part is None:
             message = f"{self.path}: has no key '{self.role}'"
@@ -244,21 +256,22 @@
             message names the file, the key and what is allowed.
     """
     try:
-        content = json5.loads(
-            path.read_text(encoding="utf-8"), allow_duplicate_keys=False
-        )
+        return SettingsFile.model_validate(_load_file(path))
+    except pydantic.ValidationError as error:
+        raise errors.SettingsError(
+            f"{path}: {describe_problems(error, SettingsFile)}", "check settings"
+        ) from error
+
+
+def _load_file(path: pathlib.Path) -> typing.Any:
+    try:
+        return json5.loads(path.read_text(encoding="utf-8"), allow_duplicate_keys=False)
     except RecursionError as error:
         message = f"{path}: is nested too deeply"
         raise errors.SettingsError(message, "read settings") from error
     except (OSError, UnicodeError, ValueError) as error:
         message = f"{path}: is no readable JSON with comments: {error}"
         raise errors.SettingsError(message, "read settings") from error
-    try:
-        return SettingsFile.model_validate(content)
-    except pydantic.ValidationError as error:
-        raise errors.SettingsError(
-            f"{path}: {describe_problems(error, SettingsFile)}", "check settings"
-        ) from error
 
 
 def describe_problems(
