Hold passes long enough to arm; let a new leader look at maps at once

After a restart of all, hosts gave attempts up that waited for a slot.

Change: the held pass is 0.3 s ahead, 0.8 s while orders go unanswered; orders time out after 60 ms and are sent again after 0.15 s. Elections after 0.6 to 1.2 s; a new leader looks at once, and again after its first orders. An attempt is given up only where its server seems to have a slot.

Ruled out: a plain lack of servers in order-desk from 36 s on (two were scaled in, the third's zone is out): nothing can serve it.

--- a/src/lycheegauge/internal/coordination/groups/mapswitch.py
+++ b/src/lycheegauge/internal/coordination/groups/mapswitch.py
@@ -32,7 +32,7 @@
 ARM_TIMEOUT_S = 1.0
 """A group that is held for longer serves nobody, so the switch is given up."""
 
-RESEND_AFTER_S = 0.3
+RESEND_AFTER_S = 0.15
 """An unanswered ``PREPARE`` is sent again after so long."""
 
 NONE = -1
--- a/src/lycheegauge/internal/daemons/engineclient.py
+++ b/src/lycheegauge/internal/daemons/engineclient.py
@@ -9,7 +9,7 @@
 from lycheegauge.internal.protocol import enginedialects, maporders
 from lycheegauge.internal.transport import upstream
 
-ENGINE_TIMEOUT_S = 0.1
+ENGINE_TIMEOUT_S = 0.06
 """An engine answers within some ms. While a pass is held, each unanswered order
 keeps the whole group waiting for so long."""
 
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -230,7 +230,7 @@
     ) -> forwardrules.GivenUp | None:
         """Refuses a first attempt that would start too late; the rest may wait."""
         assert self.index is not None
-        slots = server.slots or self.index.services[service].slots
+        slots = self._count_slots(server)
         if not slots:
             return None
         busy = self.choice.estimate(server, slots, clock.read_clock())
@@ -307,6 +307,9 @@
         def is_lost() -> bool:
             now = clock.read_clock()
             budget = self.get_budget(server.service)
+            if self.choice.estimate(server, self._count_slots(server), now) > 1.0:
+                # It may well wait for a slot there.
+                return False
             return self.progress.is_left_behind(
                 server.name, sent_at, now
             ) and budget.has_left(self.host_count, now)
@@ -314,6 +317,11 @@
         late_after_s = progress.SILENT_TARGETS * route.target_first_s
         return silencewatch.SilenceWatch(connection, late_after_s, is_lost)
 
+    def _count_slots(self, server: roster.ServerListing) -> int:
+        """Counts a server's slots as it tells them, or as its service declares."""
+        declared = self.index.services.get(server.service) if self.index else None
+        return server.slots or (declared.slots if declared else 0)
+
     def is_crowded(self, now: float) -> bool:
         """Tells whether most slots of some service are busy."""
         if self.index is None:
@@ -321,8 +329,7 @@
         busy: dict[str, float] = collections.defaultdict(float)
         slots: dict[str, int] = collections.defaultdict(int)
         for server in self.view.list_usable(now):
-            declared = self.index.services.get(server.service)
-            count = server.slots or (declared.slots if declared else 0)
+            count = self._count_slots(server)
             busy[server.service] += count * self.choice.estimate(server, count, now)
             slots[server.service] += count
         return any(
--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -26,14 +26,23 @@
 ARM_INTERVAL_S = 0.005
 """While a pass may be held the next look follows at once."""
 
-HOLD_AHEAD_S = 0.25
-"""The held pass is due after so long: arming takes about half of it. A longer lead
-would delay a switch that everybody waits for, a shorter one stop the group."""
+HOLD_AHEAD_S = 0.3
+"""The held pass is due after so long: arming takes about a third of it. A longer lead
+would delay a switch that everybody waits for. A shorter one stops the group, and
+streams whose events then come too late lose more than a better map gains."""
+
+HOLD_AHEAD_TROUBLED_S = 0.8
+"""Likewise while engines leave orders without an answer: each of these costs a
+time-out, a look and another order, and half of all switches needs two of them when
+an order in ten is lost."""
+
+TROUBLED_S = 10.0
+"""An order without an answer is remembered for so long, in seconds."""
 
 HOLD_AHEAD_STEPS_MIN = 2
 """The next pass may begin while the order is on its way."""
 
-HOLD_AHEAD_STEPS_MAX = 8
+HOLD_AHEAD_STEPS_MAX = 24
 
 URGENT_PHASES = (
     mapswitch.Phase.ARMING,
@@ -74,7 +83,8 @@
 
     ``placements`` is the map that the group runs, by layer; it is empty while it
     is unknown. ``target`` is the one that it is switched to. ``pass_s`` is how
-    long a pass took lately, in seconds.
+    long a pass took lately, in seconds. ``unanswered_at`` is when an order last
+    went without an answer.
     """
 
     switch: mapswitch.MapSwitch
@@ -84,6 +94,7 @@
     step: int = 0
     step_at: float = 0.0
     pass_s: float = 0.0
+    unanswered_at: float = -math.inf
     target: list[evenshares.Placement] = dataclasses.field(default_factory=list)
 
 
@@ -220,7 +231,9 @@
                 for placement in group.target
             ),
         )
-        group.switch.set_target(target, now, _choose_lead(group.pass_s))
+        is_troubled = now - group.unanswered_at < TROUBLED_S
+        lead_s = HOLD_AHEAD_TROUBLED_S if is_troubled else HOLD_AHEAD_S
+        group.switch.set_target(target, now, _choose_lead(lead_s, group.pass_s))
         return group.switch.decide(reports, now)
 
     def _follow_version(
@@ -316,6 +329,8 @@
         now = clock.read_clock()
         for item, outcome in zip(orders, outcomes, strict=True):
             group.switch.note_reply(item, outcome, now)
+            if outcome is maporders.MapOrderOutcome.UNANSWERED:
+                group.unanswered_at = now
 
 
 def _measure(
@@ -330,9 +345,9 @@
     )
 
 
-def _choose_lead(pass_s: float) -> int:
+def _choose_lead(lead_s: float, pass_s: float) -> int:
     """Chooses how many passes ahead a switch holds one."""
-    steps = math.ceil(HOLD_AHEAD_S / pass_s) if pass_s > 0.0 else HOLD_AHEAD_STEPS_MAX
+    steps = math.ceil(lead_s / pass_s) if pass_s > 0.0 else HOLD_AHEAD_STEPS_MAX
     return min(HOLD_AHEAD_STEPS_MAX, max(HOLD_AHEAD_STEPS_MIN, steps))
 
 
@@ -342,9 +357,10 @@
     Without orders a switch waits for a rank's report or copies, and looking more
     often would only load the leader.
     """
-    if phase is mapswitch.Phase.IDLE:
-        return OBSERVE_INTERVAL_S
     is_arming = phase in (mapswitch.Phase.ARMING, mapswitch.Phase.UNDOING)
+    if phase is mapswitch.Phase.IDLE:
+        # Orders of a new coordinator: what its predecessor left may be held.
+        return ARM_INTERVAL_S if has_orders else OBSERVE_INTERVAL_S
     return ARM_INTERVAL_S if is_arming and has_orders else PREPARE_INTERVAL_S
 
 
--- a/src/lycheegauge/internal/daemons/mapkeeping.py
+++ b/src/lycheegauge/internal/daemons/mapkeeping.py
@@ -19,6 +19,11 @@
     from lycheegauge.internal.daemons import rosterhost
 
 
+TAKEOVER_INTERVAL_S = 0.1
+"""A host that does not lead looks this often whether it does. Its predecessor may
+have left a pass held, so it begins at once."""
+
+
 class MapKeeper:
     """Runs one coordination for each leadership of its host.
 
@@ -46,7 +51,7 @@
         """Looks at all groups again and again; ends when it is cancelled."""
         try:
             while True:
-                wait_s = mapcoordination.OBSERVE_INTERVAL_S
+                wait_s = TAKEOVER_INTERVAL_S
                 if self._host.task.is_leader:
                     try:
                         wait_s = await self._look()
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -38,8 +38,8 @@
 
 TIMING = timing.Timing(
     heartbeat_s=0.2,
-    election_min_s=0.8,
-    election_max_s=1.6,
+    election_min_s=0.6,
+    election_max_s=1.2,
     first_election_min_s=0.12,
     first_election_max_s=0.35,
     read_interval_s=0.05,
