Add a fault soak; don't blame requests that were answered before

A host now remembers the digests of requests that were answered; those are never blamed. The scenario failed before.

Ranges are handed out now, and faults of one host come one by one.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: run test lint format deploy proto
+.PHONY: run test soak lint format deploy proto
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -17,6 +17,12 @@
 test: $(STAMP)
 	$(BIN)/python tests/runner.py
 
+SEEDS ?= 10
+FIRST_SEED ?= 1
+
+soak: $(STAMP)
+	$(BIN)/python tests/soak/run.py --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check src platform tests benchmarks tools
 	$(BIN)/ruff check src platform tests benchmarks tools
--- a/src/lycheegauge/internal/coordination/crashwatch.py
+++ b/src/lycheegauge/internal/coordination/crashwatch.py
@@ -20,6 +20,9 @@
 MAX_PENDING_REPORTS = 64
 """Reports that wait for the log; the oldest go first."""
 
+MAX_SOUND = 8192
+"""Answered requests that are remembered, by their digests: about a megabyte."""
+
 MAX_PENDING_CLEARANCES = 256
 
 
@@ -36,6 +39,7 @@
     """Joins broken attempts with restarts, and knows the quarantine."""
 
     def __init__(self) -> None:
+        self._sound: collections.OrderedDict[str, None] = collections.OrderedDict()
         self.quarantine = crashes.QuarantineView()
         self._broken: dict[str, collections.deque[_BrokenAttempt]] = {}
         self._pending: dict[str, changes.ReportCrash] = {}
@@ -47,21 +51,34 @@
         return not self.quarantine.is_empty
 
     def judge(self, fingerprint: str) -> crashes.Verdict:
-        """Tells whether a request may run."""
+        """Tells whether a request may run.
+
+        One that was answered here is not what ends servers, whoever else blames it:
+        many callers ask for the same thing, and some of them whenever one crashes.
+        """
+        if fingerprint in self._sound:
+            return crashes.Verdict.FREE
         return self.quarantine.judge(fingerprint)
 
     def note_broken(
         self, server: roster.ServerListing, fingerprint: str, now: float
     ) -> None:
         """Notes that a request that may have run broke off at a server."""
+        if fingerprint in self._sound:
+            return
         held = self._broken.setdefault(server.address, collections.deque())
         held.append(_BrokenAttempt(server, fingerprint, now))
         while held and held[0].broken_at < now - EVIDENCE_KEPT_S:
             held.popleft()
 
     def note_answered(self, fingerprint: str) -> None:
-        """Clears a suspect that was answered as a whole."""
-        if self.judge(fingerprint) is crashes.Verdict.SUSPECT:
+        """Remembers a request that was answered as a whole, and clears a suspect."""
+        verdict = self.quarantine.judge(fingerprint)
+        self._sound[fingerprint] = None
+        self._sound.move_to_end(fingerprint)
+        if len(self._sound) > MAX_SOUND:
+            self._sound.popitem(last=False)
+        if verdict is crashes.Verdict.SUSPECT:
             self._cleared[fingerprint] = None
             while len(self._cleared) > MAX_PENDING_CLEARANCES:
                 del self._cleared[next(iter(self._cleared))]
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -263,8 +263,7 @@
             await self._pass_on(head, connection)
             is_complete = True
             self._record.write_answered(head.status, self._runs)
-            if shared.crashwatch.knows_crashes:
-                shared.crashwatch.note_answered(self._digest_request())
+            shared.crashwatch.note_answered(self._digest_request())
             served_s = clock.read_clock() - sent_at
             shared.get_forecast(self._service).note_served(served_s)
             return None
--- a/tests/properties/forwarding.feature
+++ b/tests/properties/forwarding.feature
@@ -34,6 +34,11 @@
     Then a server is left behind when it alone is silent (frozen host)
     And a group that stands still as a whole is waited for (held pass)
 
+  Scenario: A request that crashes servers is told from its neighbours
+    Then a request that only crashes is refused after two crashes
+    And one that was answered before is not, though it ran at each crash
+    And reports are sent until the log has them
+
   Scenario: Streams are cut only between events
     Then any cutting of a stream gives whole events and the last id
 
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,81 @@
+"""Callers that go on through all faults, and what they saw."""
+
+import dataclasses
+import http.client
+import random
+import threading
+import time
+
+PATHS = ("/safe/x", "/unsafe/x", "/stream/x")
+TIME_LEFT_MS = 2500
+PAUSE_S = 0.02
+
+
+@dataclasses.dataclass
+class Seen:
+    """One request as its caller saw it; ``status`` is 0 without a whole answer."""
+
+    request_id: str
+    path: str
+    key: str
+    gateway: int
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    body: bytes = b""
+
+
+class Caller:
+    """Sends one request after the other over connections that it keeps."""
+
+    def __init__(self, number, seed, gateways, keys):
+        self.random = random.Random(seed * 1000 + number)
+        self.number = number
+        self.gateways = gateways
+        self.keys = keys
+        self.seen = []
+        self.connections = {}
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def start(self):
+        self.thread.start()
+
+    def close(self):
+        self.stopping.set()
+        self.thread.join(20)
+
+    def run(self):
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            gateway = self.random.randrange(len(self.gateways))
+            seen = Seen(
+                f"c{self.number}-{count}", self.random.choice(PATHS),
+                self.random.choice(self.keys), gateway, time.monotonic(),
+            )  # fmt: skip
+            self.seen.append(seen)
+            self.send(seen)
+            seen.ended_at = time.monotonic()
+            time.sleep(PAUSE_S)
+
+    def send(self, seen):
+        kept = self.connections.pop(seen.gateway, None)
+        connection = kept or http.client.HTTPConnection(
+            self.gateways[seen.gateway], timeout=TIME_LEFT_MS / 1000 + 1.0
+        )
+        headers = {
+            "Host": "shop.example", "Lycheegauge-Request-Id": seen.request_id,
+            "Lycheegauge-Deadline-Ms": str(TIME_LEFT_MS),
+            "Authorization": f"Bearer {seen.key}",
+        }  # fmt: skip
+        try:
+            connection.request("GET", seen.path, headers=headers)
+            answer = connection.getresponse()
+            body = answer.read()
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            return
+        seen.status, seen.body = answer.status, body
+        if not answer.will_close:
+            self.connections[seen.gateway] = connection
--- /dev/null
+++ b/tests/soak/plants.py
@@ -0,0 +1,46 @@
+"""Faults that are planted in a copy of the product, to see that the soak finds them."""
+
+import pathlib
+import shutil
+
+SOURCE = pathlib.Path(__file__).resolve().parents[2] / "src"
+PACKAGE = "lycheegauge/internal"
+
+PLANTS = {
+    "second run after a lost answer": (
+        f"{PACKAGE}/protocol/routetables.py",
+        "return self in (Repetition.SAFE, Repetition.RESUMABLE_STREAM)",
+        "return True",
+    ),
+    "a refusal after a send": (
+        f"{PACKAGE}/daemons/forwardedrequest.py",
+        "if self._may_have_run:\n            return forwardrules",
+        "if False:\n            return forwardrules",
+    ),
+    "a table is never replaced": (
+        f"{PACKAGE}/coordination/rosterview.py",
+        "return self.table is None or table.version > self.table.version",
+        "return self.table is None",
+    ),
+    "a farewell is forgotten": (
+        f"{PACKAGE}/coordination/rosterview.py",
+        "not in departed",
+        "not in ()",
+    ),
+    "a lease kept too long": (
+        f"{PACKAGE}/coordination/leases.py",
+        "return now < self.ends_at",
+        "return now < self.ends_at + 60.0",
+    ),
+}
+
+
+def plant(name, folder):
+    """Copies the source and plants a fault; returns the copy's folder."""
+    path, sound, broken = PLANTS[name]
+    copy = pathlib.Path(folder) / "src"
+    shutil.copytree(SOURCE, copy, ignore=shutil.ignore_patterns("__pycache__"))
+    text = (copy / path).read_text()
+    assert text.count(sound) == 1, f"{path} does not hold the line once: {sound}"
+    (copy / path).write_text(text.replace(sound, broken))
+    return copy
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,76 @@
+"""A loopback proxy in front of one backend server, whose traffic can be harmed."""
+
+import asyncio
+import contextlib
+import threading
+
+CHUNK_BYTES = 65_536
+
+
+class Proxy:
+    """Passes connections on; ``mode`` says how bytes are treated meanwhile.
+
+    Modes: ``pass``, ``delay`` (each chunk waits for ``delay_s``), ``silence``
+    (nothing gets through, nothing is closed), ``one_way`` (answers vanish) and
+    ``reset`` (connections are broken off as they are used).
+    """
+
+    def __init__(self, delay_s=0.15):
+        self.mode = "pass"
+        self.delay_s = delay_s
+        self.address = ""
+        self.target = ""
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.listening = threading.Event()
+
+    def start(self, target):
+        self.target = target
+        self.thread.start()
+        self.listening.wait(10)
+        return self.address
+
+    def close(self):
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+
+    def run(self):
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_until_complete(self.listen())
+        self.loop.run_forever()
+
+    async def listen(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.listening.set()
+
+    async def serve(self, reader, writer):
+        try:
+            host, port = self.target.split(":")
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        ways = [
+            asyncio.create_task(self.carry(reader, far_writer, is_answer=False)),
+            asyncio.create_task(self.carry(far_reader, writer, is_answer=True)),
+        ]
+        await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        for way in ways:
+            way.cancel()
+        # Each end learns that the other one is gone, as over a direct connection.
+        writer.close()
+        far_writer.close()
+
+    async def carry(self, reader, writer, is_answer):
+        with contextlib.suppress(OSError):
+            while part := await reader.read(CHUNK_BYTES):
+                while self.mode == "silence" or (is_answer and self.mode == "one_way"):
+                    await asyncio.sleep(0.02)
+                if self.mode == "reset":
+                    writer.transport.abort()
+                    return
+                if self.mode == "delay":
+                    await asyncio.sleep(self.delay_s)
+                writer.write(part)
+                await writer.drain()
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,167 @@
+"""The deployment under the soak: processes, servers behind proxies, an operator."""
+
+import asyncio
+import collections
+import threading
+import time
+
+from support import forwardingfleet, processes
+
+from soak import callers, proxy
+
+GATEWAYS = 3
+CALLERS = 8
+SERVERS = 5
+KEYS = {"shop": "key-of-shop", "office": "key-of-office", "spare": "key-of-spare"}
+TORN_RECORD = b"\x00\x00\x00\x20torn"
+
+
+class Server(forwardingfleet.BackendServer):
+    """A backend server that notes when it ran what, behind a proxy of its own."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.log = []
+        self.proxy = proxy.Proxy()
+        self.is_gone = False
+
+    async def listen(self):
+        await super().listen()
+        self.address = self.proxy.start(self.address)
+
+    def note_run(self, request_id, target, fields):
+        super().note_run(request_id, target, fields)
+        organisation = fields.get("lycheegauge-organisation", "")
+        self.log.append((time.monotonic(), request_id, target, organisation))
+
+    async def start_again(self):
+        self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
+        self.sequence = 0
+        host, port = self.proxy.target.split(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port))
+
+    def announce(self):
+        return not self.is_gone and super().announce()
+
+    def close(self):
+        super().close()
+        self.proxy.close()
+
+
+class World(forwardingfleet.Fleet):
+    """The fleet with callers and an operator; acknowledgements have their times."""
+
+    def __init__(self, seed):
+        super().__init__(gateways=GATEWAYS)
+        self.seed = seed
+        self.version = 0
+        self.held_keys = dict(KEYS)
+        self.revoked = {}  # key: when its removal was acknowledged
+        self.zones_out = []  # [zone, acknowledged at, asked back at or None]
+        self.left = {}  # server name: when its farewell was acknowledged
+        self.callers = []
+        self.table_lock = threading.Lock()
+        self.zone_lock = threading.Lock()
+        self.host_locks = collections.defaultdict(threading.Lock)
+        self.started = []
+        self.is_recovered = False
+
+    def start(self, servers=SERVERS):
+        super().start(servers)
+        self.change_table()
+        self.wait_until_served()
+        for number in range(CALLERS):
+            caller = callers.Caller(
+                number, self.seed, self.gateways, list(KEYS.values())
+            )
+            self.callers.append(caller)
+            caller.start()
+
+    def start_server(self, name, zone):
+        server = Server(name, zone, self.control_hosts)
+        server.start()
+        self.servers.append(server)
+        return server
+
+    def close_callers(self):
+        for caller in self.callers:
+            caller.close()
+
+    def close(self):
+        self.close_callers()
+        super().close()
+        for process in self.started:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def start_process(self, *arguments):
+        process = super().start_process(*arguments)
+        self.started.append(process)
+        return process
+
+    # What the operator does; each returns once it is acknowledged.
+
+    def change_table(self):
+        version = self.version + 1
+        keys = [(key, holder) for holder, key in self.held_keys.items()]
+        self.put_table(version, keys=keys)
+        self.version = version
+
+    def revoke(self, holder):
+        key = self.held_keys.pop(holder, None)
+        if key is not None:
+            self.change_table()
+            self.revoked[key] = time.monotonic()
+
+    def put_zone_out(self, zone):
+        answer = self.ask_control(f"/zones-out/{zone}", {}, "PUT")
+        assert answer.status == 200, answer.body
+        self.zones_out.append([zone, time.monotonic(), None])
+
+    def take_zone_back(self, zone):
+        # Work may come back as soon as the operator asks for it.
+        for entry in self.zones_out:
+            if entry[0] == zone and entry[2] is None:
+                entry[2] = time.monotonic()
+        answer = self.ask_control(f"/zones-out/{zone}", method="DELETE")
+        assert answer.status == 200, answer.body
+
+    def leave(self, server):
+        server.is_gone = True
+        path = f"/backend-servers/{server.name}"
+        answer = self.ask_control(path, {"born_ms": server.born_ms}, "DELETE")
+        assert answer.status == 200, answer.body
+        self.left[server.name] = time.monotonic()
+
+    # What happens to hosts.
+
+    def restart(self, name):
+        number = int(name.rpartition("-")[2]) - 1
+        if name.startswith("control"):
+            self.start_control(number)
+        else:
+            self.start_gateway(number)
+
+    def tear_journal(self, name):
+        """Leaves half a record at the end of a stopped host's log."""
+        path = self.folder / name / "log"
+        if path.exists():
+            with open(path, "ab") as file:
+                file.write(TORN_RECORD)
+
+    def wait_until_recovered(self, limit_s):
+        """Waits until every gateway serves; returns whether all did in time."""
+        give_up_at = time.monotonic() + limit_s
+        waiting = set(range(GATEWAYS))
+        while waiting and time.monotonic() < give_up_at:
+            for number in list(waiting):
+                try:
+                    path, name = "/safe/x", f"end-{number}-{time.time_ns()}"
+                    if self.request(path, name, gateway=number).status == 200:
+                        waiting.discard(number)
+                except OSError:
+                    # It is not up yet.
+                    pass
+            time.sleep(processes.POLL_S)
+        return not waiting
--- a/tests/steps/forwarding.py
+++ b/tests/steps/forwarding.py
@@ -1,5 +1,6 @@
 import asyncio
 import collections
+import dataclasses
 import heapq
 import random
 import sys
@@ -11,6 +12,8 @@
 
 from lycheegauge.internal.coordination import (
     coldramp,
+    crashes,
+    crashwatch,
     eventstream,
     forwardrules,
     headers,
@@ -24,6 +27,7 @@
 from lycheegauge.internal.coordination.groups import demand, evenshares
 from lycheegauge.internal.daemons import loadsharing
 from lycheegauge.internal.protocol import (
+    freshness,
     maporders,
     nativedialect,
     roster,
@@ -426,6 +430,57 @@
     assert not seen.is_left_behind("a", 2.9, 3.0)
 
 
+def crash_servers(watch, fingerprint, count=2):
+    for server in make_servers(count):
+        watch.note_broken(server, fingerprint, 1.0)
+        watch.take_refused_connection(server, 1.1)
+
+
+@behave.then("a request that only crashes is refused after two crashes")
+def check_poison(context):
+    watch = crashwatch.CrashWatch()
+    assert not watch.knows_crashes
+    crash_servers(watch, "poison", 1)
+    assert watch.judge("poison") is crashes.Verdict.SUSPECT
+    crash_servers(watch, "poison", 2)
+    assert watch.judge("poison") is crashes.Verdict.REFUSED
+    # A restart at the same address is evidence too, a mere break is not.
+    first, second = make_servers(2)
+    watch.note_broken(first, "other", 2.0)
+    watch.note_broken(second, "third", 2.0)
+    restarted = dataclasses.replace(first, born_ms=first.born_ms + 1)
+    (report,) = watch.take_servers([restarted, second], 3.0)
+    assert report.fingerprints == ("other",)
+    assert watch.judge("third") is crashes.Verdict.FREE
+
+
+@behave.then("one that was answered before is not, though it ran at each crash")
+def check_neighbour(context):
+    watch = crashwatch.CrashWatch()
+    watch.note_answered("often")
+    crash_servers(watch, "often", 3)
+    assert watch.judge("often") is crashes.Verdict.FREE
+    # Other hosts that had not answered it yet may have blamed it.
+    refused = freshness.Quarantine(1, ("often",))
+    pull = watch.complete_pull(roster.RosterPull(None, 0, 0, "", 0))
+    reply = roster.RosterReply(None, "", (), quarantine=refused)
+    watch.take_reply(pull, reply, 2.0)
+    assert watch.judge("often") is crashes.Verdict.FREE
+
+
+@behave.then("reports are sent until the log has them")
+def check_reports(context):
+    watch = crashwatch.CrashWatch()
+    empty = roster.RosterPull(None, 0, 0, "", 0)
+    crash_servers(watch, "poison", 1)
+    first = watch.complete_pull(empty)
+    assert [report.fingerprints for report in first.crashes] == [("poison",)]
+    watch.take_reply(first, roster.RosterReply(None, "", ()), 2.0)
+    assert watch.complete_pull(empty).crashes == first.crashes
+    watch.take_reply(first, roster.RosterReply(None, "", (), has_recorded=True), 2.0)
+    assert watch.complete_pull(empty).crashes == ()
+
+
 @behave.then("any cutting of a stream gives whole events and the last id")
 def check_cutter(context):
     event = strategies.tuples(
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -90,6 +90,10 @@
                 return True
         return False
 
+    def note_run(self, request_id, target, fields):
+        self.runs[request_id] += 1
+        self.organisations[fields.get("lycheegauge-organisation", "")] += 1
+
     def crash(self):
         """Ends as a process does; it is back at its address after some time."""
         self.crashes += 1
@@ -130,13 +134,12 @@
                 b"Content-Length: 0\r\n\r\n"
             )
             return
-        self.runs[request_id] += 1
+        self.note_run(request_id, target, fields)
         if self.is_mute:
             return
         if target.endswith("/poison"):
             self.crash()
             return
-        self.organisations[fields.get("lycheegauge-organisation", "")] += 1
         if self.fails_resumed and "last-event-id" in fields:
             writer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\nsorry")
             return
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -73,7 +73,9 @@
     raise AssertionError(f"waited in vain until {what}")
 
 
-_next_port = itertools.count(PORTS_FROM + os.getpid() % PORT_RANGES * PORTS_EACH)
+# Deployments that run at once and share loopback addresses are told their range.
+PORT_RANGE = int(os.environ.get("LYCHEEGAUGE_PORT_RANGE", os.getpid() % PORT_RANGES))
+_next_port = itertools.count(PORTS_FROM + PORT_RANGE * PORTS_EACH)
 
 
 def reserve_ports(count):
