Don't switch to a map that was planned before a rank turned slow

Change: the lead is chosen when the pass is held, from passes as long as they are now, one pass if that is long enough. A map that is still being prepared when a rank's pace changes by half is dropped and planned anew.

Ruled out: orders without an answer alone (they cost 0.8 s); copies (done after 0.4 s).

--- a/src/lycheegauge/internal/coordination/groups/mapswitch.py
+++ b/src/lycheegauge/internal/coordination/groups/mapswitch.py
@@ -113,17 +113,19 @@
         self._highest_version = max(named) + 1
         return self._highest_version
 
-    def set_target(
-        self, target: Target, now: float, ahead_steps: int = HOLD_AHEAD_STEPS
-    ) -> None:
-        """Starts a switch; ``is_idle`` must hold.
+    def set_lead(self, steps: int) -> None:
+        """Sets how many passes ahead one is held from now on."""
+        self._ahead_steps = steps
+
+    def drop_unarmed_target(self, now: float) -> bool:
+        """Gives a switch up that is still being prepared; tells whether it was."""
+        if self.phase is not Phase.PREPARING:
+            return False
+        self._drop_target(now)
+        return True
 
-        Args:
-            target: The map to switch to.
-            now: Seconds.
-            ahead_steps: How many passes ahead one is held.
-        """
-        self._ahead_steps = ahead_steps
+    def set_target(self, target: Target, now: float) -> None:
+        """Starts a switch; ``is_idle`` must hold."""
         self._target = target
         self._target_version = target.version
         self._prepared_at.clear()
--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -36,11 +36,16 @@
 time-out, a look and another order, and half of all switches needs two of them when
 an order in ten is lost."""
 
+PACE_CHANGE = 1.5
+"""A rank whose pace changed by this factor gets so much more or less work that a map
+planned before does harm."""
+
 TROUBLED_S = 10.0
 """An order without an answer is remembered for so long, in seconds."""
 
 HOLD_AHEAD_STEPS_MIN = 2
-"""The next pass may begin while the order is on its way."""
+"""The next pass may begin while the order is on its way, unless passes are so long
+that one of them is lead enough."""
 
 HOLD_AHEAD_STEPS_MAX = 24
 
@@ -84,7 +89,8 @@
     ``placements`` is the map that the group runs, by layer; it is empty while it
     is unknown. ``target`` is the one that it is switched to. ``pass_s`` is how
     long a pass took lately, in seconds. ``unanswered_at`` is when an order last
-    went without an answer.
+    went without an answer. ``planned_paces`` are those of the ranks when the target
+    was planned.
     """
 
     switch: mapswitch.MapSwitch
@@ -95,6 +101,7 @@
     step_at: float = 0.0
     pass_s: float = 0.0
     unanswered_at: float = -math.inf
+    planned_paces: list[float] = dataclasses.field(default_factory=list)
     target: list[evenshares.Placement] = dataclasses.field(default_factory=list)
 
 
@@ -217,6 +224,14 @@
         group.demand.take(reports.values(), now)
         _measure_passes(group, reports, now)
         self._follow_version(name, group, reports, experts)
+        is_troubled = now - group.unanswered_at < TROUBLED_S
+        lead_s = HOLD_AHEAD_TROUBLED_S if is_troubled else HOLD_AHEAD_S
+        group.switch.set_lead(_choose_lead(lead_s, group.pass_s))
+        if _have_paces_changed(group.planned_paces, _list_paces(reports)):
+            # The map being prepared is for ranks that were as fast as before.
+            group.planned_paces = []
+            if group.switch.drop_unarmed_target(now):
+                loguru.logger.info("drops a planned map, paces changed", group=name)
         orders = group.switch.decide(reports, now)
         if orders or not group.switch.is_idle or not group.placements:
             return orders
@@ -231,9 +246,8 @@
                 for placement in group.target
             ),
         )
-        is_troubled = now - group.unanswered_at < TROUBLED_S
-        lead_s = HOLD_AHEAD_TROUBLED_S if is_troubled else HOLD_AHEAD_S
-        group.switch.set_target(target, now, _choose_lead(lead_s, group.pass_s))
+        group.switch.set_target(target, now)
+        group.planned_paces = _list_paces(reports)
         return group.switch.decide(reports, now)
 
     def _follow_version(
@@ -279,7 +293,7 @@
         loads = group.demand.split_layers(experts.layers)
         if not loads or group.demand.total < LEAST_CHOICES:
             return False
-        paces = [reports[rank].pace for rank in sorted(reports)]
+        paces = _list_paces(reports)
         if len(paces) != len(group.placements[0]):
             return False
         ease = math.pow(RELAXED_SHARE * target_gap_s / max(group.pass_s, 1e-3), 2)
@@ -348,7 +362,24 @@
 def _choose_lead(lead_s: float, pass_s: float) -> int:
     """Chooses how many passes ahead a switch holds one."""
     steps = math.ceil(lead_s / pass_s) if pass_s > 0.0 else HOLD_AHEAD_STEPS_MAX
-    return min(HOLD_AHEAD_STEPS_MAX, max(HOLD_AHEAD_STEPS_MIN, steps))
+    least = 1 if pass_s >= HOLD_AHEAD_S else HOLD_AHEAD_STEPS_MIN
+    return min(HOLD_AHEAD_STEPS_MAX, max(least, steps))
+
+
+def _list_paces(reports: dict[int, maporders.EngineReport]) -> list[float]:
+    return [reports[rank].pace for rank in sorted(reports)]
+
+
+def _have_paces_changed(
+    planned: collections.abc.Sequence[float], paces: collections.abc.Sequence[float]
+) -> bool:
+    """Tells whether a map that was planned for some paces is out of date."""
+    if len(planned) != len(paces):
+        return False
+    return any(
+        max(before, after) > PACE_CHANGE * min(before, after)
+        for before, after in zip(planned, paces, strict=True)
+    )
 
 
 def _choose_wait(phase: mapswitch.Phase, has_orders: bool) -> float:
--- a/tests/failures/engineroutes.feature
+++ b/tests/failures/engineroutes.feature
@@ -23,3 +23,4 @@
 
   Scenario: The held pass is due soon however long passes take
     Then a switch holds a pass some tenths of a second ahead
+    And a map that was planned before a rank turned slow is dropped (slow rank)
