Switch maps at a bad time only for a pressing gain

Change: at such a time a switch must save a quarter, rather than none begin. Ruled out: a missed look (reports came each 0.4 s).

--- a/src/lycheegauge/internal/coordination/groups/copytiming.py
+++ b/src/lycheegauge/internal/coordination/groups/copytiming.py
@@ -11,6 +11,12 @@
 100."""
 
 
+PRESSING_GAIN = 0.25
+"""Fraction of the slowest ranks' part that a switch must save to be made at a bad time:
+such a shift of demand is only half seen in the counts yet, and passes will soon be
+over the target without it."""
+
+
 def may_copy(longest_pass_s: float | None, target_gap_s: float) -> bool:
     """Tells whether a copy would not push passes over the target.
 
--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -244,8 +244,6 @@
         orders = group.switch.decide(reports, now)
         if orders or not group.switch.is_idle or not group.placements:
             return orders
-        if not group.may_copy:
-            return []
         if not self._plan(name, group, reports, experts, target_gap_s):
             return []
         target = mapswitch.Target(
@@ -311,6 +309,8 @@
         per_copy = RELAXED_GAIN_PER_COPY * ease
         per_copy = min(GAIN_PER_COPY_MAX, max(GAIN_PER_COPY_MIN, per_copy))
         least_gain = min(GAIN_MAX, max(GAIN_MIN, RELAXED_GAIN * ease))
+        if not group.may_copy:
+            least_gain = max(least_gain, copytiming.PRESSING_GAIN)
         bounds = evenshares.PlacementBounds(experts.slots, experts.copies, per_copy)
         planned = [
             evenshares.plan_layer(placement, layer, paces, bounds)
