Compare a silent server with those of its own service only

Change: progress is kept by service. One probe at a time looks whether a server still listens, however many streams broke off there. Ruled out: the service's own servers going on (none sent a part then). Before: the new step of the scenario failed; after: it passes.

--- a/src/lycheegauge/internal/coordination/progress.py
+++ b/src/lycheegauge/internal/coordination/progress.py
@@ -11,33 +11,36 @@
 
 
 class ServerProgress:
-    """Remembers when each server last sent a part of any answer."""
+    """Remembers when each server of each service last sent a part of any answer."""
 
     def __init__(self) -> None:
-        self._heard_at: dict[str, float] = {}
+        self._heard_at: dict[str, dict[str, float]] = {}
 
-    def note_part(self, server: str, now: float) -> None:
+    def note_part(self, service: str, server: str, now: float) -> None:
         """Notes that a server sent something."""
-        self._heard_at[server] = now
+        self._heard_at.setdefault(service, {})[server] = now
 
-    def is_left_behind(self, server: str, sent_at: float, now: float) -> bool:
-        """Tells whether a server is silent while others answer.
+    def is_left_behind(
+        self, service: str, server: str, sent_at: float, now: float
+    ) -> bool:
+        """Tells whether a server is silent while others of its service answer.
 
         Args:
+            service: The server's service.
             server: The server that a request was sent to.
             sent_at: When that was, in seconds.
             now: Seconds.
         """
-        if self._heard_at.get(server, sent_at) > sent_at:
+        heard_at = self._heard_at.get(service, {})
+        if heard_at.get(server, sent_at) > sent_at:
             return False
         return any(
-            now - heard_at < RECENT_S
-            for other, heard_at in self._heard_at.items()
-            if other != server
+            now - at < RECENT_S for other, at in heard_at.items() if other != server
         )
 
     def forget(self, before: float) -> None:
         """Forgets servers that have been silent since then."""
-        for server, heard_at in list(self._heard_at.items()):
-            if heard_at < before:
-                del self._heard_at[server]
+        for heard_at in self._heard_at.values():
+            for server, at in list(heard_at.items()):
+                if at < before:
+                    del heard_at[server]
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -299,7 +299,7 @@
                 head = await connection.read_head()
             finally:
                 watch.close()
-        shared.progress.note_part(server.name, clock.read_clock())
+        shared.progress.note_part(self._service, server.name, clock.read_clock())
         return head
 
     def _make_head(self, server: roster.ServerListing) -> upstream.RequestHead:
@@ -423,7 +423,7 @@
         now = clock.read_clock()
         gap_s = self._record.note_part(now)
         self._shared.note_gap(self._service, gap_s)
-        self._shared.progress.note_part(self._server, now)
+        self._shared.progress.note_part(self._service, self._server, now)
         await self._exchange.write(part)
 
     def _start(self, head: upstream.AnswerHead) -> None:
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -96,7 +96,7 @@
         self._waiting_for_news = 0
         self._settled_at = math.inf
         self.running: set[asyncio.Task[None]] = set()
-        self._probes: set[asyncio.Task[None]] = set()
+        self._probes: dict[str, asyncio.Task[None]] = {}
         self._gaps: dict[str, float] = {}
         self._budgets: dict[str, repeatbudget.RepeatBudget] = {}
         self._forecasts: dict[str, waitforecast.WaitForecast] = {}
@@ -163,11 +163,14 @@
     def note_broken(self, server: roster.ServerListing, fingerprint: str) -> None:
         """Notes a request that broke off, and looks whether its server is gone."""
         self.crashwatch.note_broken(server, fingerprint, clock.read_clock())
+        if server.incarnation in self._probes:
+            return
         task = asyncio.create_task(self._probe(server))
-        self._probes.add(task)
-        task.add_done_callback(self._probes.discard)
+        self._probes[server.incarnation] = task
+        task.add_done_callback(lambda _: self._probes.pop(server.incarnation, None))
 
     async def _probe(self, server: roster.ServerListing) -> None:
+        """Looks whether a server still listens; one look serves all that broke off."""
         try:
             connection = await self.pool.connect(server.incarnation, server.address)
         except errors.PeerUnreachableError as error:
@@ -322,7 +325,7 @@
                 # It may well wait for a slot there.
                 return False
             return self.progress.is_left_behind(
-                server.name, sent_at, now
+                server.service, server.name, sent_at, now
             ) and budget.has_left(self.host_count, now)
 
         late_after_s = progress.SILENT_TARGETS * route.target_first_s
@@ -377,7 +380,7 @@
 
     async def close(self) -> None:
         """Ends all requests and connections."""
-        tasks = [*self.running, *self._probes]
+        tasks = [*self.running, *self._probes.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/steps/forwarding.py
+++ b/tests/steps/forwarding.py
@@ -409,26 +409,29 @@
 @behave.then("a server is left behind when it alone is silent (frozen host)")
 def check_left_behind(context):
     seen = progress.ServerProgress()
-    seen.note_part("frozen", 0.9)
+    seen.note_part("model", "frozen", 0.9)
     sent_at = 1.0
     for tenth in range(10, 30):
-        seen.note_part("sound", tenth / 10)
-    assert seen.is_left_behind("frozen", sent_at, 3.0)
-    assert not seen.is_left_behind("sound", sent_at, 3.0)
+        seen.note_part("model", "sound", tenth / 10)
+    assert seen.is_left_behind("model", "frozen", sent_at, 3.0)
+    assert not seen.is_left_behind("model", "sound", sent_at, 3.0)
     # Any part that came after the request was sent shows that the server lives.
-    seen.note_part("frozen", 1.1)
-    assert not seen.is_left_behind("frozen", sent_at, 3.0)
+    seen.note_part("model", "frozen", 1.1)
+    assert not seen.is_left_behind("model", "frozen", sent_at, 3.0)
 
 
 @behave.then("a group that stands still as a whole is waited for (held pass)")
 def check_standstill(context):
     seen = progress.ServerProgress()
     for server in ("a", "b", "c"):
-        seen.note_part(server, 1.0)
-    assert not seen.is_left_behind("a", 1.05, 1.05 + progress.RECENT_S)
+        seen.note_part("model", server, 1.0)
+    assert not seen.is_left_behind("model", "a", 1.05, 1.05 + progress.RECENT_S)
+    # What another service does says nothing about the group.
+    seen.note_part("plain", "p", 3.0)
+    assert not seen.is_left_behind("model", "a", 1.05, 3.0)
     seen.forget(2.0)
-    seen.note_part("a", 3.0)
-    assert not seen.is_left_behind("a", 2.9, 3.0)
+    seen.note_part("model", "a", 3.0)
+    assert not seen.is_left_behind("model", "a", 2.9, 3.0)
 
 
 def crash_servers(watch, fingerprint, count=2):
