Have the soak's callers come back when they are told to

Recovery was within its bound. Callers now wait as long as they are told. The check and its bound, a quarter served, stay as they are.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -23,6 +23,7 @@
     ended_at: float = 0.0
     status: int = 0
     body: bytes = b""
+    retry_after_s: float = 0.0
 
 
 class Caller:
@@ -57,7 +58,7 @@
             self.seen.append(seen)
             self.send(seen)
             seen.ended_at = time.monotonic()
-            time.sleep(PAUSE_S)
+            self.stopping.wait(max(PAUSE_S, seen.retry_after_s))
 
     def send(self, seen):
         kept = self.connections.pop(seen.gateway, None)
@@ -77,5 +78,6 @@
             connection.close()
             return
         seen.status, seen.body = answer.status, body
+        seen.retry_after_s = float(answer.headers.get("Retry-After", 0.0))
         if not answer.will_close:
             self.connections[seen.gateway] = connection
