Log what marked the end of an answer, and the bytes after its last event

"request answered" now has framing (length, chunks, connection, no_body) and partial_event_bytes. No decision changes: the framing is read off the head, and streams that are passed on in parts are split only to count the bytes after the last whole event.

--- a/src/lycheegauge/internal/coordination/eventstream.py
+++ b/src/lycheegauge/internal/coordination/eventstream.py
@@ -26,6 +26,11 @@
         """Whether bytes of an incomplete event are buffered."""
         return bool(self._buffer)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Number of buffered bytes of an incomplete event."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns all events that are now complete."""
         joined = self._buffer + data
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -270,7 +270,7 @@
                 return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED)
             await self._forward_response(head, connection)
             is_complete = True
-            self._record.write_answered(self._route, head.status, self._runs)
+            self._record.write_answered(self._route, head, self._runs)
             shared.crashdetector.record_answered(self._digest_request())
             served_s = clock.read_clock() - sent_at
             shared.get_forecast(self._service).note_served(served_s)
@@ -399,8 +399,11 @@
         self._exchange.finish()
 
     async def _forward_parts(self, connection: upstream.UpstreamConnection) -> None:
+        splitter = eventstream.EventSplitter()
         while part := await connection.read_chunk():
+            splitter.feed(part)
             await self._write(part)
+        self._record.partial_event_bytes = splitter.incomplete_bytes
         self._exchange.finish()
 
     async def _forward_events(
@@ -421,6 +424,7 @@
             await self._write(events)
         if not self._exchange.is_started:
             self._start(head)
+        self._record.partial_event_bytes = splitter.incomplete_bytes
         if splitter.has_incomplete_event:
             await self._write(splitter.take_remainder())
         self._exchange.finish()
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -5,7 +5,7 @@
 from lycheegauge.internal import events
 from lycheegauge.internal.coordination import forwardrules
 from lycheegauge.internal.protocol import roster, routetables
-from lycheegauge.internal.transport import clock
+from lycheegauge.internal.transport import clock, upstream
 
 if typing.TYPE_CHECKING:
     from lycheegauge.internal.daemons import forwarder
@@ -16,6 +16,7 @@
 
     Attributes:
         first_part_at: When the first part of the response was forwarded, in seconds.
+        partial_event_bytes: Number of bytes after the last complete event of a stream.
 
     Args:
         shared: The state shared by all requests of the entry host.
@@ -27,6 +28,7 @@
         self, shared: "forwarder.Forwarder", request_id: str, arrived_at: float
     ) -> None:
         self.first_part_at: float | None = None
+        self.partial_event_bytes = 0
         self._last_part_at: float | None = None
         self._longest_gap_s = 0.0
         self._shared = shared
@@ -90,7 +92,9 @@
         self._last_part_at = now
         return gap_s
 
-    def write_answered(self, route: routetables.Route, status: int, runs: int) -> None:
+    def write_answered(
+        self, route: routetables.Route, head: upstream.ResponseHead, runs: int
+    ) -> None:
         """Logs that a response was forwarded to its end, and records its timings."""
         now = clock.read_clock()
         first_s = (self.first_part_at or now) - self._arrived_at
@@ -101,11 +105,13 @@
             events.RequestAnswered(
                 self._request_id,
                 self._server,
-                status,
+                head.status,
                 round(first_s * 1000),
                 self._waited_ms,
                 round(self._longest_gap_s * 1000),
                 runs,
+                head.framing.value,
+                self.partial_event_bytes,
             )
         )
         self._shared.outcomes.count_answered(route, first_s, self._longest_gap_s)
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -81,6 +81,9 @@
         total_ms: Time from the request's arrival to the end of the answer.
         gap_ms: Longest pause between two parts of the answer.
         runs: Number of servers that may have run the request.
+        framing: What marked the end of the answer, one of ``upstream.Framing``.
+        partial_event_bytes: Number of bytes after the last complete event of a
+            stream; 0 for other answers.
     """
 
     server: str
@@ -89,6 +92,8 @@
     total_ms: int
     gap_ms: int
     runs: int
+    framing: str
+    partial_event_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import re
 import socket
 import typing
@@ -43,13 +44,31 @@
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
 
+BODYLESS_STATUS_CODES = (204, 304)
+
+
+class Framing(enum.StrEnum):
+    """What marks the end of a response's body (RFC 9112, section 6.3)."""
+
+    NO_BODY = "no_body"
+    CHUNKS = "chunks"
+    LENGTH = "length"
+    CONNECTION = "connection"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status and headers of a response, with header names in lower case."""
+    """Status and headers of a response, with header names in lower case.
+
+    Attributes:
+        framing: What marks the end of the body. With ``Framing.CONNECTION`` a body
+            that was broken off can look like a complete one.
+    """
 
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
+    framing: Framing = Framing.LENGTH
 
     def get(self, name: str) -> str:
         """Returns a header's value, or an empty string."""
@@ -74,6 +93,7 @@
         self.idle_limit_s = DEFAULT_IDLE_S
         self.request_count = 0
         self._codec = h11.Connection(h11.CLIENT)
+        self._method = ""
         self._transport: asyncio.Transport | None = None
         self._events: collections.deque[typing.Any] = collections.deque()
         self._unread_bytes = 0
@@ -146,6 +166,7 @@
         except h11.LocalProtocolError as error:
             raise errors.BorderError(str(error), "send request") from error
         self._is_busy = True
+        self._method = head.method
         self.request_count += 1
         self._transport.write(sent)
 
@@ -165,7 +186,8 @@
         )
         self._update_idle_limit(event)
         reason = event.reason.decode("latin-1")
-        return ResponseHead(event.status_code, reason, headers)
+        framing = _find_framing(self._method, event.status_code, headers)
+        return ResponseHead(event.status_code, reason, headers, framing)
 
     async def read_chunk(self) -> bytes:
         """Waits for a chunk of the body; returns empty bytes at the end of the body.
@@ -265,6 +287,17 @@
                     self.idle_limit_s = min(IDLE_MAX_S, limit)
 
 
+def _find_framing(
+    method: str, status: int, headers: tuple[tuple[str, str], ...]
+) -> Framing:
+    names = {name for name, _ in headers}
+    if method == "HEAD" or status in BODYLESS_STATUS_CODES:
+        return Framing.NO_BODY
+    if "transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if "content-length" in names else Framing.CONNECTION
+
+
 class ConnectionPool:
     """Keeps idle connections for each backend server.
 
