Add a failing test: an end of a connection is taken for the end of an answer

brokenanswers.feature runs a forwarder with scripted backend servers in one process. A server ends the connection in the head, before the first event, in the first or a later event, or between two, with a regular close or a reset; the answer has a length, chunks or neither; the request is safe, unsafe, a stream, or a resumable stream that another server can continue, that none can continue, that its caller resumed, or that was resumed once already. A response may be framed as complete only if its body is whole, and a whole answer has to arrive whole.

On this code 28 of 245 cases are framed as complete and aren't: the four places after the head with a regular close and no framing, for all seven kinds. So the failing scenarios are the seven with "neither". A further scenario fails: to a caller that speaks HTTP/1.0 the end of a broken-off stream is a regular close.

--- /dev/null
+++ b/tests/failures/brokenanswers.feature
@@ -0,0 +1,38 @@
+Feature: Answers that are broken off on their way to the caller
+
+  # Guards against taking the end of a server's connection for the end of an answer.
+  Scenario Outline: A broken-off answer is never framed as complete (<kind>, <framing>)
+    Given answers with <framing> to a <kind>
+    Then wherever the server ends the connection, only a whole answer is framed as complete
+    And a whole answer arrives whole
+    And a cut that the bytes or a reset show does not look like an end
+
+    Examples:
+      | kind                                    | framing   |
+      | safe request                            | a length  |
+      | safe request                            | chunks    |
+      | safe request                            | neither   |
+      | unsafe request                          | a length  |
+      | unsafe request                          | chunks    |
+      | unsafe request                          | neither   |
+      | stream                                  | a length  |
+      | stream                                  | chunks    |
+      | stream                                  | neither   |
+      | resumable stream                        | a length  |
+      | resumable stream                        | chunks    |
+      | resumable stream                        | neither   |
+      | resumable stream without another server | a length  |
+      | resumable stream without another server | chunks    |
+      | resumable stream without another server | neither   |
+      | stream resumed by its caller            | a length  |
+      | stream resumed by its caller            | chunks    |
+      | stream resumed by its caller            | neither   |
+      | stream resumed once already             | a length  |
+      | stream resumed once already             | chunks    |
+      | stream resumed once already             | neither   |
+
+  # Guards against a regular close of a broken-off answer that has no length or chunks.
+  Scenario: A broken-off answer does not look like an end to a caller without chunks
+    Given a caller that speaks HTTP/1.0
+    Then a stream that no server can continue ends with a reset of its connection
+    And a whole stream ends with a regular close
--- /dev/null
+++ b/tests/steps/brokenanswers.py
@@ -0,0 +1,220 @@
+import asyncio
+import dataclasses
+import itertools
+
+import behave
+from support import gatewayhost
+
+EVENTS = tuple(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 7))
+PLAIN = b'{"slot": 7, "booked": true}'
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+STREAM_TYPE = b"Content-Type: text/event-stream\r\n"
+FRAMINGS = ("a length", "chunks", "neither")
+CUTS = (
+    "none", "in the head", "before the first event", "in the first event",
+    "between two events", "in a later event",
+)  # fmt: skip
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of request.
+
+    Attributes:
+        repetition: The route's.
+        attempts_max: The most servers that may run the request.
+        resume_after: The last event that the caller states to have.
+        first_cut_after: After this event an earlier server broke off the answer.
+    """
+
+    repetition: str
+    attempts_max: int = 1
+    resume_after: int = 0
+    first_cut_after: int = 0
+
+    @property
+    def is_stream(self):
+        return "stream" in self.repetition
+
+
+LONE_STREAM = "resumable stream without another server"
+KINDS = {
+    "safe request": Kind("safe", 2),
+    "unsafe request": Kind("unsafe", 2),
+    "stream": Kind("stream", 2),
+    "resumable stream": Kind("resumable_stream", 2),
+    LONE_STREAM: Kind("resumable_stream", 1),
+    "stream resumed by its caller": Kind("resumable_stream", 2, resume_after=2),
+    "stream resumed once already": Kind("resumable_stream", 2, first_cut_after=1),
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    kind: Kind
+    framing: str
+    cut: str
+    ending: str
+
+    @property
+    def whole(self):
+        """The body that a caller gets if nothing is lost."""
+        if not self.kind.is_stream:
+            return PLAIN
+        return b"".join(EVENTS[self.kind.resume_after :])
+
+    @property
+    def shows_cut(self):
+        """Whether the bytes or a reset show that the answer was broken off."""
+        if self.cut == "none":
+            return False
+        if self.ending == "reset" or self.framing != "neither":
+            return True
+        if self.cut == "in the head":
+            return True
+        return self.kind.is_stream and self.cut.endswith(("first event", "later event"))
+
+
+def make_body(kind, resume_after):
+    return b"".join(EVENTS[resume_after:]) if kind.is_stream else PLAIN
+
+
+def cut_body(kind, body, cut, resume_after):
+    """Returns what is sent of a body whose sender ends at ``cut``."""
+    if cut == "none":
+        return body
+    if not kind.is_stream:
+        return body[
+            : {"before the first event": 0, "in the first event": 1}.get(cut, 9)
+        ]
+    first = len(EVENTS[resume_after])
+    second = first + len(EVENTS[resume_after + 1])
+    sent = {
+        "before the first event": 0,
+        "in the first event": first - 5,
+        "between two events": second,
+        "in a later event": second + 8,
+    }
+    return body[: sent[cut]]
+
+
+def make_response(kind, framing, cut, resume_after):
+    """Builds the bytes of a response that ends at ``cut``."""
+    head = STATUS_LINE + (STREAM_TYPE if kind.is_stream else b"")
+    body = make_body(kind, resume_after)
+    if framing == "a length":
+        head += b"Content-Length: %d\r\n" % len(body)
+    if framing == "chunks":
+        head += b"Transfer-Encoding: chunked\r\n"
+    if cut == "in the head":
+        return head[:-4]
+    part = cut_body(kind, body, cut, resume_after)
+    if framing != "chunks":
+        return head + b"\r\n" + part
+    # A chunk holds up to ten bytes, so events extend over several.
+    chunks = [part[n : n + 10] for n in range(0, len(part), 10)]
+    encoded = b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks)
+    return head + b"\r\n" + encoded + (b"0\r\n\r\n" if cut == "none" else b"")
+
+
+def make_servers(case):
+    """Two servers: the first run is that of the case, any further one is whole."""
+    kind, runs = case.kind, itertools.count()
+
+    def reply(fields):
+        run, resume_after = next(runs), int(fields.get("last-event-id") or 0)
+        if kind.first_cut_after and run == 0:
+            whole = make_response(kind, "chunks", "none", 0)
+            end = whole.index(b"\r\n\r\n") + 4
+            event = b"".join(EVENTS[: kind.first_cut_after]) + b"id: 9"
+            return gatewayhost.Reply(
+                whole[:end] + b"%x\r\n%b\r\n" % (len(event), event), "close"
+            )
+        if run == (1 if kind.first_cut_after else 0):
+            sent = make_response(kind, case.framing, case.cut, resume_after)
+            return gatewayhost.Reply(sent, case.ending)
+        return gatewayhost.Reply(make_response(kind, "chunks", "none", resume_after))
+
+    return [gatewayhost.ScriptedServer(reply) for _ in range(2)]
+
+
+async def run_case(case, version="HTTP/1.1"):
+    kind = case.kind
+    host = gatewayhost.GatewayHost(
+        make_servers(case), kind.repetition, kind.attempts_max
+    )
+    await host.start()
+    try:
+        resume = (("Last-Event-Id", str(kind.resume_after)),)
+        return await gatewayhost.call(
+            host.address,
+            headers=resume if kind.resume_after else (),
+            version=version,
+        )
+    finally:
+        await host.close()
+
+
+@behave.given("answers with {framing} to a {kind}")
+def run_cases(context, framing, kind):
+    assert framing in FRAMINGS
+    context.received = {}
+    for cut, ending in itertools.product(CUTS, ("close", "reset")):
+        if framing == "neither" and cut == "none" and ending == "reset":
+            continue
+        case = Case(KINDS[kind], framing, cut, ending)
+        context.received[case] = asyncio.run(run_case(case))
+
+
+@behave.then(
+    "wherever the server ends the connection, only a whole answer is framed as complete"
+)
+def check_framed(context):
+    for case, received in context.received.items():
+        if received.status == 200 and received.end == "framed":
+            assert received.body == case.whole, (case, received)
+        if received.status == 200:
+            # What did arrive is the beginning of the answer.
+            assert case.whole.startswith(received.body) or (
+                received.end == "broken" and not case.kind.is_stream
+            ), (case, received)
+
+
+@behave.then("a whole answer arrives whole")
+def check_whole(context):
+    whole = [item for item in context.received.items() if item[0].cut == "none"]
+    assert whole
+    for case, received in whole:
+        assert received.status == 200 and received.end != "broken", (case, received)
+        assert received.body == case.whole, (case, received)
+
+
+@behave.then("a cut that the bytes or a reset show does not look like an end")
+def check_shown(context):
+    shown = [item for item in context.received.items() if item[0].shows_cut]
+    assert len(shown) >= 5
+    for case, received in shown:
+        is_ended = received.status == 200 and received.end != "broken"
+        assert not is_ended or received.body == case.whole, (case, received)
+
+
+@behave.given("a caller that speaks HTTP/1.0")
+def make_old_caller(context):
+    context.version = "HTTP/1.0"
+
+
+@behave.then("a stream that no server can continue ends with a reset of its connection")
+def check_reset(context):
+    for kind, framing in itertools.product(("stream", LONE_STREAM), FRAMINGS):
+        case = Case(KINDS[kind], framing, "in a later event", "close")
+        received = asyncio.run(run_case(case, context.version))
+        assert received.status == 200 and received.end == "broken", (case, received)
+
+
+@behave.then("a whole stream ends with a regular close")
+def check_closed(context):
+    for kind, framing in itertools.product(("stream", LONE_STREAM), FRAMINGS):
+        case = Case(KINDS[kind], framing, "none", "close")
+        received = asyncio.run(run_case(case, context.version))
+        assert received.end in ("closed", "framed"), (case, received)
+        assert received.body == case.whole, (case, received)
