Pass on an answer's end only as far as its server stated it

Cause: an answer with neither a length nor chunks ends with its connection. UpstreamConnection reported that end like a stated one, ForwardedRequest wrote the bytes of an incomplete event and finished the response, whose chunks then stated an end that nobody had stated. Class: an end that is taken for a completion.

Now - the response to the caller has no chunks either if the answer had no framing (closedelimited.py). A resumable one goes on at another server within attempts, retry budget and deadline; else the caller gets a broken response, never a finished one; - if the response to the caller has chunks already, since an earlier server sent them, the close of a later server's connection confirms nothing: the stream is resumed once more after its last event, or broken off; - an answer on a stream's route whose type isn't text/event-stream is passed on as a plain one. It would else count as an incomplete event.

What can't be known: an unframed stream whose connection closes regularly between two events. Its caller gets the same, a regular close without framing.

Ruled out: parts lost in a continuation (affected requests had one run) and a parser that ends framed answers early (168 cases with a length or chunks, none wrong).

Evidence: brokenanswers.feature failed before in the seven scenarios with "neither" and the one for HTTP/1.0, 28 of 245 cases framed as complete and not whole; after, none. New with the fix, so not run on the code before it: a further kind (a third server confirms the end), JSON on a stream's route, and a gateway killed within a stream.

The list of methods that end a request has one more, "run", which aborts when cancelled.

--- a/src/lycheegauge/internal/coordination/eventstream.py
+++ b/src/lycheegauge/internal/coordination/eventstream.py
@@ -15,17 +15,14 @@
     Attributes:
         last_id: Id of the last event returned; until then the id given at the
             start, which is empty by default.
+        attempt_has_events: Whether the current attempt has sent a complete event.
     """
 
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
+        self.attempt_has_events = False
         self._buffer = b""
 
-    @property
-    def has_incomplete_event(self) -> bool:
-        """Whether bytes of an incomplete event are buffered."""
-        return bool(self._buffer)
-
     @property
     def incomplete_bytes(self) -> int:
         """Number of buffered bytes of an incomplete event."""
@@ -40,17 +37,14 @@
             return b""
         complete, self._buffer = joined[: end + 2], joined[end + 2 :]
         self._update_last_id(complete)
+        self.attempt_has_events = True
         return complete
 
-    def discard_incomplete_event(self) -> None:
-        """Discards an incomplete event after its stream broke off."""
+    def begin_attempt(self) -> None:
+        """Discards an incomplete event of an earlier attempt that broke off."""
+        self.attempt_has_events = False
         self._buffer = b""
 
-    def take_remainder(self) -> bytes:
-        """Returns and clears the bytes after the last event, at the stream's end."""
-        remainder, self._buffer = self._buffer, b""
-        return remainder
-
     def _update_last_id(self, events: bytes) -> None:
         start = events.rfind(b"\n" + ID_FIELD)
         if start >= 0:
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -23,6 +23,7 @@
     from lycheegauge.internal.daemons import forwarder
 
 OK = 200
+EVENT_STREAM_TYPE = "text/event-stream"
 BUFFERED_BODY_MAX_BYTES = 262_144
 """A non-streamed response up to this size is buffered completely before it is
 forwarded, so that the request can still be repeated if the response is cut off."""
@@ -85,6 +86,7 @@
             await self._run()
         except asyncio.CancelledError:
             self._record.write_cancelled(self._name_route())
+            self._exchange.abort()
             raise
 
     async def _run(self) -> None:
@@ -260,7 +262,7 @@
                 self._refusals += 1
                 is_complete = await self._discard_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVERS_FULL)
-            is_broken = self._exchange.is_started and head.status != OK
+            is_broken = self._exchange.is_started and not self._is_event_stream(head)
             can_repeat = verdict is forwardrules.Verdict.REPEAT and (
                 self._can_repeat_elsewhere()
             )
@@ -347,6 +349,15 @@
             head.status, says_not_run, self._route.repetition
         )
 
+    def _is_event_stream(self, head: upstream.ResponseHead) -> bool:
+        assert self._route is not None
+        media_type = head.get("content-type").partition(";")[0].strip().lower()
+        return (
+            self._route.repetition.is_stream
+            and head.status == OK
+            and media_type in ("", EVENT_STREAM_TYPE)
+        )
+
     def _can_repeat_elsewhere(self) -> bool:
         assert self._route is not None
         return self._runs < self._route.attempts_max and len(self._tried_servers) < len(
@@ -370,14 +381,12 @@
     ) -> None:
         """Forwards a response to its regular end."""
         assert self._route is not None
-        is_stream = self._route.repetition.is_stream and head.status == OK
-        if is_stream and self._route.repetition.is_idempotent:
+        if not self._is_event_stream(head):
+            await self._forward_plain(head, connection)
+        elif self._route.repetition.is_idempotent:
             await self._forward_events(head, connection)
-        elif is_stream:
-            self._start(head)
-            await self._forward_parts(connection)
         else:
-            await self._forward_plain(head, connection)
+            await self._forward_parts(head, connection)
         self._shared.metrics.count_answer(self._service)
 
     async def _forward_plain(
@@ -398,12 +407,19 @@
                 await self._write(bytes(buffered))
         self._exchange.finish()
 
-    async def _forward_parts(self, connection: upstream.UpstreamConnection) -> None:
+    async def _forward_parts(
+        self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
+    ) -> None:
+        """Forwards a stream that no other server can resume, as its bytes arrive."""
         splitter = eventstream.EventSplitter()
         while part := await connection.read_chunk():
             splitter.feed(part)
+            if not self._exchange.is_started:
+                self._start(head)
             await self._write(part)
-        self._record.partial_event_bytes = splitter.incomplete_bytes
+        self._check_stream_end(head, splitter)
+        if not self._exchange.is_started:
+            self._start(head)
         self._exchange.finish()
 
     async def _forward_events(
@@ -414,7 +430,7 @@
             last_id = self._exchange.headers.get(self._names.last_event_id, "")
             self._splitter = eventstream.EventSplitter(last_id)
         splitter = self._splitter
-        splitter.discard_incomplete_event()
+        splitter.begin_attempt()
         while part := await connection.read_chunk():
             events = splitter.feed(part)
             if not events:
@@ -422,13 +438,31 @@
             if not self._exchange.is_started:
                 self._start(head)
             await self._write(events)
+        self._check_stream_end(head, splitter)
         if not self._exchange.is_started:
             self._start(head)
-        self._record.partial_event_bytes = splitter.incomplete_bytes
-        if splitter.has_incomplete_event:
-            await self._write(splitter.take_remainder())
         self._exchange.finish()
 
+    def _check_stream_end(
+        self, head: upstream.ResponseHead, splitter: eventstream.EventSplitter
+    ) -> None:
+        """Checks that a stream may have ended where its server ended it.
+
+        Raises:
+            errors.BackendServerFailedError: The stream was broken off, or the response
+                to the caller would state an end that the server did not state.
+        """
+        detail = ""
+        if splitter.incomplete_bytes:
+            detail = f"stream ended {splitter.incomplete_bytes} bytes into an event"
+        elif head.framing is upstream.Framing.CONNECTION:
+            if not splitter.attempt_has_events:
+                detail = "connection closed before the first event"
+            elif self._exchange.is_started and not self._exchange.is_close_delimited:
+                detail = "connection closed, which does not confirm the stream's end"
+        if detail:
+            raise errors.BackendServerFailedError(detail, "read answer")
+
     async def _write(self, part: bytes) -> None:
         now = clock.read_clock()
         gap_s = self._record.note_part(now)
@@ -441,7 +475,10 @@
         for name, text in headers.strip_hop_by_hop(head.headers):
             forwarded_headers.add(name, text)
         self._record.first_part_at = clock.read_clock()
-        self._exchange.start(head.status, head.reason, forwarded_headers)
+        is_close_delimited = head.framing is upstream.Framing.CONNECTION
+        self._exchange.start(
+            head.status, head.reason, forwarded_headers, is_close_delimited
+        )
 
     def _give_up(
         self, reason: work.RefusalReason, detail: str = ""
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -16,7 +16,6 @@
 
     Attributes:
         first_part_at: When the first part of the response was forwarded, in seconds.
-        partial_event_bytes: Number of bytes after the last complete event of a stream.
 
     Args:
         shared: The state shared by all requests of the entry host.
@@ -28,7 +27,6 @@
         self, shared: "forwarder.Forwarder", request_id: str, arrived_at: float
     ) -> None:
         self.first_part_at: float | None = None
-        self.partial_event_bytes = 0
         self._last_part_at: float | None = None
         self._longest_gap_s = 0.0
         self._shared = shared
@@ -111,7 +109,6 @@
                 round(self._longest_gap_s * 1000),
                 runs,
                 head.framing.value,
-                self.partial_event_bytes,
             )
         )
         self._shared.outcomes.count_answered(route, first_s, self._longest_gap_s)
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -82,8 +82,6 @@
         gap_ms: Longest pause between two parts of the answer.
         runs: Number of servers that may have run the request.
         framing: What marked the end of the answer, one of ``upstream.Framing``.
-        partial_event_bytes: Number of bytes after the last complete event of a
-            stream; 0 for other answers.
     """
 
     server: str
@@ -93,7 +91,6 @@
     gap_ms: int
     runs: int
     framing: str
-    partial_event_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/transport/ingress.py
+++ b/src/lycheegauge/internal/transport/ingress.py
@@ -7,7 +7,9 @@
 import tornado.httputil
 import tornado.iostream
 
-from lycheegauge.internal.transport import clock
+from lycheegauge.internal.transport import clock, closedelimited
+
+BODYLESS_STATUS_CODES = (204, 304)
 
 MAX_UNSENT_BYTES = 65_536
 """With more unsent data than this, writing waits until the caller has read it."""
@@ -25,6 +27,8 @@
         is_disconnected: Whether the caller has disconnected.
         is_started: Whether the response has been started.
         closes_connection: Whether the connection is closed after the response.
+        is_close_delimited: Whether the end of the response is only marked by the end
+            of its connection.
     """
 
     def __init__(
@@ -42,7 +46,12 @@
         self.is_disconnected = False
         self.is_started = False
         self.closes_connection = False
-        self._connection = connection
+        self.is_close_delimited = False
+        self._accepts_chunks = start.version == "HTTP/1.1"
+        self._connection: (
+            tornado.http1connection.HTTP1Connection
+            | closedelimited.CloseDelimitedResponse
+        ) = connection
         self._disconnect_callback: collections.abc.Callable[[], object] | None = None
         connection.set_close_callback(self._handle_disconnect)
 
@@ -53,15 +62,47 @@
         self._disconnect_callback = callback
 
     def start(
-        self, status: int, reason: str, headers: tornado.httputil.HTTPHeaders
+        self,
+        status: int,
+        reason: str,
+        headers: tornado.httputil.HTTPHeaders,
+        is_close_delimited: bool = False,
     ) -> None:
-        """Sends the status line and headers of the response."""
+        """Sends the status line and headers of the response.
+
+        Args:
+            status: The status code.
+            reason: The reason phrase.
+            headers: The headers; without a length the body is sent in chunks.
+            is_close_delimited: Whether the response gets neither a length nor chunks,
+                so that it doesn't state where it ends.
+        """
         self.is_started = True
+        if is_close_delimited or self._must_end_by_closing(status, headers):
+            self._detach()
         if self.closes_connection:
             headers["Connection"] = "close"
         line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
         self._write(lambda: self._connection.write_headers(line, headers))
 
+    def _must_end_by_closing(
+        self, status: int, headers: tornado.httputil.HTTPHeaders
+    ) -> bool:
+        has_body = self.method != "HEAD" and status not in BODYLESS_STATUS_CODES
+        return has_body and not self._accepts_chunks and "Content-Length" not in headers
+
+    def _detach(self) -> None:
+        """Takes the connection from the HTTP server, which would send chunks."""
+        connection = self._connection
+        if self.is_disconnected or isinstance(
+            connection, closedelimited.CloseDelimitedResponse
+        ):
+            return
+        self.is_close_delimited = True
+        self._connection = closedelimited.CloseDelimitedResponse(
+            connection.detach(), self._handle_disconnect
+        )
+
     async def write(self, data: bytes) -> None:
         """Sends a chunk of the body; waits if the caller reads slowly."""
         sent = self._write(lambda: self._connection.write(data))
@@ -97,7 +138,7 @@
         self.finish()
 
     def abort(self) -> None:
-        """Closes the connection, so that a partial response can't look complete."""
+        """Ends the connection so that a partial response can't look complete."""
         self._disconnect_callback = None
         self.is_disconnected = True
         self._connection.close()
--- a/tests/failures/brokenanswers.feature
+++ b/tests/failures/brokenanswers.feature
@@ -8,31 +8,44 @@
     And a cut that the bytes or a reset show does not look like an end
 
     Examples:
-      | kind                                    | framing   |
-      | safe request                            | a length  |
-      | safe request                            | chunks    |
-      | safe request                            | neither   |
-      | unsafe request                          | a length  |
-      | unsafe request                          | chunks    |
-      | unsafe request                          | neither   |
-      | stream                                  | a length  |
-      | stream                                  | chunks    |
-      | stream                                  | neither   |
-      | resumable stream                        | a length  |
-      | resumable stream                        | chunks    |
-      | resumable stream                        | neither   |
-      | resumable stream without another server | a length  |
-      | resumable stream without another server | chunks    |
-      | resumable stream without another server | neither   |
-      | stream resumed by its caller            | a length  |
-      | stream resumed by its caller            | chunks    |
-      | stream resumed by its caller            | neither   |
-      | stream resumed once already             | a length  |
-      | stream resumed once already             | chunks    |
-      | stream resumed once already             | neither   |
+      | kind                                     | framing   |
+      | safe request                             | a length  |
+      | safe request                             | chunks    |
+      | safe request                             | neither   |
+      | unsafe request                           | a length  |
+      | unsafe request                           | chunks    |
+      | unsafe request                           | neither   |
+      | stream                                   | a length  |
+      | stream                                   | chunks    |
+      | stream                                   | neither   |
+      | resumable stream                         | a length  |
+      | resumable stream                         | chunks    |
+      | resumable stream                         | neither   |
+      | resumable stream without another server  | a length  |
+      | resumable stream without another server  | chunks    |
+      | resumable stream without another server  | neither   |
+      | stream resumed by its caller             | a length  |
+      | stream resumed by its caller             | chunks    |
+      | stream resumed by its caller             | neither   |
+      | stream resumed once already              | a length  |
+      | stream resumed once already              | chunks    |
+      | stream resumed once already              | neither   |
+      | stream resumed once, a third server left | a length  |
+      | stream resumed once, a third server left | chunks    |
+      | stream resumed once, a third server left | neither   |
 
   # Guards against a regular close of a broken-off answer that has no length or chunks.
   Scenario: A broken-off answer does not look like an end to a caller without chunks
     Given a caller that speaks HTTP/1.0
     Then a stream that no server can continue ends with a reset of its connection
     And a whole stream ends with a regular close
+
+  # Guards against taking an answer that is no event stream for an incomplete event.
+  Scenario Outline: An answer on a stream's route that is no event stream arrives whole
+    Given a <repetition> route whose server answers with JSON
+    Then the JSON arrives whole and framed as complete
+
+    Examples:
+      | repetition       |
+      | stream           |
+      | resumable_stream |
--- a/tests/processes/forwarding.feature
+++ b/tests/processes/forwarding.feature
@@ -13,6 +13,12 @@
     And an unsafe request that a server refuses runs once on another server
     And a stream that no server can resume is aborted, not ended
 
+  # Guards against a regular close by the kernel, which looks like an answer's end.
+  Scenario: A killed gateway does not make a part of an unframed stream look whole
+    Given backend servers whose streams have neither a length nor chunks
+    Then a stream reaches its caller complete and ends with its connection
+    And a stream is reset at its caller when its gateway is killed
+
   Scenario: Acknowledged changes survive a kill of every log host
     Then a route table, a zone out and a departure survive a kill of all log hosts
 
--- a/tests/steps/forwardingfleet.py
+++ b/tests/steps/forwardingfleet.py
@@ -2,6 +2,7 @@
 import http.client
 import json
 import signal
+import socket
 import threading
 import time
 
@@ -119,6 +120,45 @@
     assert received.decode() == events
 
 
+@behave.given("backend servers whose streams have neither a length nor chunks")
+def use_unframed_streams(context):
+    for server in context.fleet.servers:
+        server.is_unframed = True
+
+
+@behave.then("a stream reaches its caller complete and ends with its connection")
+def check_unframed_stream(context):
+    answer = context.fleet.request("/stream/a", "unframed")
+    check_stream(answer)
+    fields = {name.lower() for name in answer.headers}
+    assert not fields & {"content-length", "transfer-encoding"}, fields
+    assert answer.headers["Connection"] == "close"
+
+
+@behave.then("a stream is reset at its caller when its gateway is killed")
+def check_killed_gateway(context):
+    fleet = context.fleet
+    host, port = fleet.gateways[0].split(":")
+    with socket.create_connection((host, int(port)), timeout=5.0) as connected:
+        request = (
+            "GET /stream/a HTTP/1.1\r\nHost: shop.example\r\n"
+            "Lycheegauge-Request-Id: killed\r\n"
+            f"Authorization: Bearer {forwardingfleet.KEY}\r\n\r\n"
+        )
+        connected.sendall(request.encode())
+        received = b""
+        while b"id: 2\n" not in received:
+            received += connected.recv(4096)
+        fleet.stop("gateway-1")
+        try:
+            while part := connected.recv(4096):
+                received += part
+        except ConnectionResetError:
+            assert f"id: {forwardingfleet.EVENTS}\n".encode() not in received
+            return
+    raise AssertionError("the connection was closed regularly")
+
+
 @behave.then(
     "a route table, a zone out and a departure survive a kill of all log hosts"
 )
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -131,6 +131,7 @@
     ]
     assert sorted(finishing) == [
         "_end", "_forward_events", "_forward_parts", "_forward_plain", "_send_refusal",
+        "run",
     ], finishing  # fmt: skip
 
 
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -36,6 +36,7 @@
         self.break_at_event = 0
         self.refuses = False
         self.fails_on_resume = False
+        self.is_unframed = False
         self.crashes = 0
         self.is_unresponsive = False
         self.writers = []
@@ -151,6 +152,9 @@
                 + body
             )
             return
+        if self.is_unframed:
+            await self.answer_unframed(writer)
+            return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         for number in range(int(fields.get("last-event-id") or 0) + 1, EVENTS + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
@@ -164,6 +168,14 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         writer.write(b"0\r\n\r\n")
 
+    async def answer_unframed(self, writer):
+        """Sends a stream with neither a length nor chunks, then closes."""
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        for number in range(1, EVENTS + 1):
+            writer.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        writer.close()
+
 
 class Fleet(processes.Deployment):
     """Log hosts, several gateways and backend servers in three zones.
