Split event streams whose lines end in CR LF or CR

The splitter now knows the three line ends of the standard. The LF of a CR LF whose CR came with an earlier part is passed on at once, so that the caller gets every byte that the server sent. LF-only streams take the same path as before.

The property "Streams are split only between events" now draws the line ends of each event. With them it failed on the code before (14 passed, 1 failed in forwarding.feature) and passes after (15 passed).

--- a/src/lycheegauge/internal/coordination/eventstream.py
+++ b/src/lycheegauge/internal/coordination/eventstream.py
@@ -2,11 +2,13 @@
 
 Only complete events are forwarded, so that a stream that breaks off in the middle
 of an event can be resumed at another server without a truncated or duplicated
-event.
+event. A line may end in LF, CR LF or CR (HTML Living Standard, section 9.2.5).
 """
 
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+import re
+
+EVENT_END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
 
 class EventSplitter:
@@ -31,14 +33,14 @@
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns all events that are now complete."""
         joined = self._buffer + data
-        end = joined.rfind(EVENT_END)
-        if end < 0:
-            self._buffer = joined
-            return b""
-        complete, self._buffer = joined[: end + 2], joined[end + 2 :]
-        self._update_last_id(complete)
-        self.attempt_has_events = True
-        return complete
+        end = _find_last_event_end(joined)
+        if end:
+            self._update_last_id(joined[:end])
+            self.attempt_has_events = True
+        # Blank lines belong to no event. One may be the LF of a CR LF whose CR came
+        # before.
+        self._buffer = joined[end:].lstrip(b"\r\n")
+        return joined[: len(joined) - len(self._buffer)]
 
     def begin_attempt(self) -> None:
         """Discards an incomplete event of an earlier attempt that broke off."""
@@ -46,12 +48,13 @@
         self._buffer = b""
 
     def _update_last_id(self, events: bytes) -> None:
-        start = events.rfind(b"\n" + ID_FIELD)
-        if start >= 0:
-            start += 1
-        elif events.startswith(ID_FIELD):
-            start = 0
-        else:
-            return
-        line = events[start + len(ID_FIELD) :].partition(b"\n")[0]
-        self.last_id = line.strip().decode("ascii", "replace")
+        ids = ID_LINE.findall(events)
+        if ids:
+            self.last_id = ids[-1].strip().decode("ascii", "replace")
+
+
+def _find_last_event_end(data: bytes) -> int:
+    """Returns the offset after the last complete event; 0 if there is none."""
+    if b"\r" not in data:
+        return data.rfind(b"\n\n") + 2 if b"\n\n" in data else 0
+    return max((found.end() for found in EVENT_END.finditer(data)), default=0)
--- a/tests/steps/forwarding.py
+++ b/tests/steps/forwarding.py
@@ -500,18 +500,21 @@
 @behave.then("a stream split at any positions gives complete events and the last id")
 def check_splitter(context):
     event = strategies.tuples(
-        strategies.integers(0, 999), strategies.text("ab \n", max_size=9)
+        strategies.integers(0, 999),
+        strategies.text("ab \n", max_size=9),
+        strategies.sampled_from(("\n", "\r\n", "\r")),
     )
 
     def write(item):
-        number, text = item
-        lines = "".join(f"data: {line}\n" for line in text.split("\n"))
-        return f"id: {number}\n{lines}\n".encode()
+        number, text, line_end = item
+        lines = "".join(f"data: {line}{line_end}" for line in text.split("\n"))
+        return f"id: {number}{line_end}{lines}{line_end}".encode()
 
     @hypothesis.given(strategies.lists(event, max_size=8), strategies.data())
     def check(events, data):
         stream = b"".join(map(write, events))
-        last = write((1000, "torn"))
+        line_end = data.draw(strategies.sampled_from(("\n", "\r\n", "\r")))
+        last = write((1000, "torn", line_end))
         torn = last[: data.draw(strategies.integers(0, 12))]
         splitter, passed, rest = eventstream.EventSplitter("start"), b"", stream + torn
         while rest:
