Treat a call on a connection that just closed as a failed call

Its logs: at 08:24:18 two of three gateways logged "a background task failed; restart the process" with AttributeError "'Connection' object has no attribute '_transport'", right after they had lost the log's leader. Their pulls had ended for good, so their leases ran out and they refused every caller.

Cause: grpclib deletes the transport of a connection when it closes it. A call that was given the connection just before then fails with an AttributeError, which isn't among the errors that mean an unreachable peer, so it went through the pull loop. Not load as such: it takes a connection that is closed between its set-up and a waiting call; several calls share a channel, and one that times out drops it.

Only AttributeErrors of grpclib's connections are translated, so that mistakes of our own still show.

--- a/src/lycheegauge/internal/transport/peers.py
+++ b/src/lycheegauge/internal/transport/peers.py
@@ -8,6 +8,7 @@
 import grpclib.client
 import grpclib.const
 import grpclib.exceptions
+import grpclib.protocol
 import grpclib.server
 import h2.exceptions
 
@@ -41,6 +42,13 @@
     except _FAILURES as error:
         detail = f"RPC failed: {type(error).__name__} {error}"
         raise errors.PeerUnreachableError(detail, step, address) from error
+    except AttributeError as error:
+        # grpclib deletes the transport of a connection that it closes. A call that has
+        # just been given the connection then fails with this error.
+        if not isinstance(error.obj, grpclib.protocol.Connection):
+            raise
+        detail = "RPC failed: the connection was closed before the call"
+        raise errors.PeerUnreachableError(detail, step, address) from error
 
 
 class ChannelPool:
