Don't reuse a connection whose end marked the end of an answer

What callers would see: a request sent right after an unframed answer, in the same turn of the event loop, went out on that answer's closed connection and failed. One that may not be repeated then ended with 502, though no server had got it.

Cause: without a length the parser keeps both sides in the state DONE when the connection ends, so _finish_response made the connection ready for the next request. Only the later connection_lost told that it was closed. The parser also tells that it has seen the end; that is checked now.

--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -218,9 +218,10 @@
     def _finish_response(self) -> None:
         """Prepares the connection for the next request, or closes it."""
         self._is_busy = False
-        trailing, _ = self._codec.trailing_data
+        trailing, is_closed = self._codec.trailing_data
         if (
             trailing
+            or is_closed
             or self._codec.our_state is not h11.DONE
             or (self._codec.their_state is not h11.DONE)
         ):
--- a/tests/failures/upstream.feature
+++ b/tests/failures/upstream.feature
@@ -22,6 +22,11 @@
     Given a backend server that sends a whole answer and later another
     Then the second request opens a new connection
 
+  # Guards against sending a request on a connection whose end marked an answer's end.
+  Scenario: The connection of an answer without a length is not reused right after it
+    Given a backend server that sends an answer without a length
+    Then a request sent at once opens a new connection
+
   Scenario: An idle connection is not reused after its server's time-out
     Given a backend server that keeps idle connections for one second
     Then a request after that second opens a new connection
--- a/tests/steps/upstream.py
+++ b/tests/steps/upstream.py
@@ -95,7 +95,8 @@
     outcomes = []
     for _ in range(request_count):
         outcome, connection = await send_request(pool, address)
-        await asyncio.sleep(pause_s)
+        if pause_s:
+            await asyncio.sleep(pause_s)
         outcomes.append((outcome, connection.is_usable))
     pool.close()
     server.server.close()
@@ -133,6 +134,15 @@
     assert connections == 2
 
 
+@behave.then("a request sent at once opens a new connection")
+def check_immediate(context):
+    outcomes, connections = asyncio.run(
+        run_requests(context.sent, request_count=2, pause_s=0)
+    )
+    assert [outcome for outcome, _ in outcomes] == ["is whole", "is whole"], outcomes
+    assert connections == 2
+
+
 @behave.then("a request after that second opens a new connection")
 def check_idle(context):
     _, connections = asyncio.run(
