Don't read an engine's missing document as an empty one

What could happen: an engine that was asked for the counts or experts of its rank, and whose answer came without them (an answer without a length that ended before its first byte, or an empty 503), was read as a rank that chose nothing and holds nothing. A report in a 503 was read as any other. The coordinator plans maps from these.

Cause: an empty body stood for "not asked", and the status was ignored. A document that is cut within was refused before and is: JSON states its own end.

--- a/src/lycheegauge/internal/daemons/engineclient.py
+++ b/src/lycheegauge/internal/daemons/engineclient.py
@@ -9,6 +9,8 @@
 from lycheegauge.internal.protocol import enginedialects, maporders
 from lycheegauge.internal.transport import upstream
 
+OK = 200
+
 ENGINE_TIMEOUT_S = 0.06
 """An engine answers within a few ms. While a forward pass is held, each unanswered
 order makes the whole group wait for this long."""
@@ -46,13 +48,12 @@
         Raises:
             errors.LycheegaugeError: The engine gave no valid answer.
         """
-        _, report = await self._call(self._dialect.make_report_call())
-        counts = b""
+        report = await self._read(self._dialect.make_report_call())
+        counts = experts = None
         if question.counts:
-            _, counts = await self._call(self._dialect.make_counts_call())
-        experts = b""
+            counts = await self._read(self._dialect.make_counts_call())
         if question.experts:
-            _, experts = await self._call(self._dialect.make_experts_call())
+            experts = await self._read(self._dialect.make_experts_call())
         read = self._dialect.parse_report(report, counts, experts)
         if isinstance(read, result.Failure):
             raise read.failure()
@@ -73,6 +74,18 @@
             outcome = maporders.MapOrderOutcome.UNANSWERED
         return maporders.MapOrderReply(outcome)
 
+    async def _read(self, call: enginedialects.EngineCall) -> bytes:
+        """Reads a document.
+
+        Raises:
+            errors.LycheegaugeError: The engine did not answer with a document.
+        """
+        status, document = await self._call(call)
+        if status != OK:
+            message = f"the engine answered {call.target} with status {status}"
+            raise errors.BackendServerFailedError(message, "ask", self._address)
+        return document
+
     async def _call(self, call: enginedialects.EngineCall) -> tuple[int, bytes]:
         """Calls the engine.
 
--- a/src/lycheegauge/internal/protocol/enginedialects.py
+++ b/src/lycheegauge/internal/protocol/enginedialects.py
@@ -37,9 +37,9 @@
         """Builds the call that carries an order."""
 
     def parse_report(
-        self, report: bytes, counts: bytes, experts: bytes
+        self, report: bytes, counts: bytes | None, experts: bytes | None
     ) -> result.Result[maporders.EngineReport, errors.BorderError]:
-        """Parses the state, and ``counts`` and ``experts`` unless they are empty."""
+        """Parses the state, and ``counts`` and ``experts`` unless they are ``None``."""
 
 
 _dialects: dict[str, EngineDialect] = {}
@@ -124,13 +124,13 @@
         return EngineCall("/v1/rank/orders", json.dumps(document).encode())
 
     def parse_report(
-        self, report: bytes, counts: bytes, experts: bytes
+        self, report: bytes, counts: bytes | None, experts: bytes | None
     ) -> result.Result[maporders.EngineReport, errors.BorderError]:
-        """Parses the state, and ``counts`` and ``experts`` unless they are empty."""
+        """Parses the state, and ``counts`` and ``experts`` unless they are ``None``."""
         try:
             model = ReportModel.model_validate_json(report)
-            chosen = _COUNTS_ADAPTER.validate_json(counts or b"[]")
-            held = _EXPERTS_ADAPTER.validate_json(experts or b"[]")
+            chosen = _COUNTS_ADAPTER.validate_json(b"[]" if counts is None else counts)
+            held = _EXPERTS_ADAPTER.validate_json(b"[]" if experts is None else experts)
         except pydantic.ValidationError as error:
             return nativedialect.make_failure(error, "read engine report")
         return result.Success(
--- a/tests/failures/upstream.feature
+++ b/tests/failures/upstream.feature
@@ -34,5 +34,22 @@
   Scenario: Hosts together stay within a server's connection limit
     Then open connections are counted until they are closed
 
+  # Guards against taking an answer without its document for one that holds nothing.
+  Scenario Outline: An engine's <document> that is broken off is not read as an empty one
+    Given an engine whose <document> <fault>
+    Then reading the engine's state fails
+
+    Examples:
+      | document | fault                          |
+      | counts   | ends before the first byte     |
+      | counts   | ends within the document       |
+      | counts   | is refused with an empty 503   |
+      | experts  | ends before the first byte     |
+      | experts  | ends within the document       |
+      | experts  | is refused with an empty 503   |
+      | report   | ends before the first byte     |
+      | report   | ends within the document       |
+      | report   | is refused with a whole report |
+
   Scenario: An engine that does not answer does not delay its group
     Then an order is reported as unanswered within 0.15 seconds
--- a/tests/steps/brokenanswers.py
+++ b/tests/steps/brokenanswers.py
@@ -124,7 +124,7 @@
     """Three servers: one run is that of the case, any later one is whole."""
     kind, runs = case.kind, itertools.count()
 
-    def reply(fields):
+    def reply(fields, target):
         run, resume_after = next(runs), int(fields.get("last-event-id") or 0)
         if kind.first_cut_after and run == 0:
             whole = make_response(kind, "chunks", "none", 0)
@@ -226,7 +226,9 @@
         head = STATUS_LINE + STREAM_TYPE + b"Content-Length: %d\r\n\r\n" % len(rest)
         replies = iter((context.first, gatewayhost.Reply(head + rest)))
         servers = [
-            gatewayhost.ScriptedServer(lambda fields, replies=replies: next(replies))
+            gatewayhost.ScriptedServer(
+                lambda fields, target, replies=replies: next(replies)
+            )
             for _ in range(2)
         ]
         received = asyncio.run(call_servers(servers, "resumable_stream", 2))
@@ -248,7 +250,7 @@
     body = b'{"error": "no such model"}'
     head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
     sent = head + b"Content-Length: %d\r\n\r\n" % len(body) + body
-    server = gatewayhost.ScriptedServer(lambda fields: gatewayhost.Reply(sent))
+    server = gatewayhost.ScriptedServer(lambda fields, target: gatewayhost.Reply(sent))
     context.sent = body
     context.received = asyncio.run(call_servers([server], repetition, 1))
 
--- a/tests/steps/platform_words.py
+++ b/tests/steps/platform_words.py
@@ -204,15 +204,20 @@
     assert (report.prepared_version, report.armed_step, report.held_step) == (5, 30, 30)
     assert report.counts == (1, 2) and report.experts[0].experts == (0, 2)
     idle = {**REPORT, "prepared": None, "armed": None, "held": None}
-    report = dialect.parse_report(json.dumps(idle).encode(), b"", b"").unwrap()
+    report = dialect.parse_report(json.dumps(idle).encode(), None, None).unwrap()
     assert (report.prepared_version, report.armed_version, report.held_step) == (
         -1, -1, -1,
     )  # fmt: skip
     broken = {**REPORT, "group": {**REPORT["group"], "state": "broken"}}
     assert (
-        not dialect.parse_report(json.dumps(broken).encode(), b"", b"").unwrap().is_open
+        not dialect.parse_report(json.dumps(broken).encode(), None, None)
+        .unwrap()
+        .is_open
     )
-    assert isinstance(dialect.parse_report(b"{}", b"", b""), result.Failure)
+    assert isinstance(dialect.parse_report(b"{}", None, None), result.Failure)
+    whole = json.dumps(idle).encode()
+    for counts, lists in ((b"", None), (None, b""), (b"{}", None), (None, b"{}")):
+        assert isinstance(dialect.parse_report(whole, counts, lists), result.Failure)
 
 
 @behave.then("orders contain exactly the fields of their kind")
--- a/tests/steps/upstream.py
+++ b/tests/steps/upstream.py
@@ -1,9 +1,11 @@
 import asyncio
+import json
 import socket
 import struct
 import time
 
 import behave
+from support import gatewayhost
 
 from lycheegauge import errors
 from lycheegauge.internal.daemons import engineclient
@@ -155,6 +157,64 @@
     assert connections == 2
 
 
+ENGINE_REPORT = {
+    "server": "rank-0", "group": "g", "epoch": 1, "rank": 0, "size": 2,
+    "is_open": True, "step": 7,
+}  # fmt: skip
+ENGINE_DOCUMENTS = {
+    "/v1/rank": ("report", ENGINE_REPORT),
+    "/v1/rank/counts": ("counts", [3, 1, 2]),
+    "/v1/rank/experts": ("experts", [[0, 1], [1, 0]]),
+}
+
+
+def make_engine_reply(document, is_faulty, fault):
+    whole = json.dumps(document).encode()
+    if not is_faulty:
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % len(whole)
+        return gatewayhost.Reply(head + whole)
+    if "refused" in fault:
+        body = whole if "whole" in fault else b""
+        head = b"HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n" % len(body)
+        return gatewayhost.Reply(head + body)
+    part = whole[:-2] if "within" in fault else b""
+    return gatewayhost.Reply(HEAD + b"\r\n" + part, "close")
+
+
+async def observe_engine(faulty, fault):
+    def reply(fields, target):
+        name, document = ENGINE_DOCUMENTS[target]
+        return make_engine_reply(document, name == faulty, fault)
+
+    server = gatewayhost.ScriptedServer(reply)
+    await server.start()
+    client = engineclient.EngineClient(
+        enginedialects.get_dialect("native"), server.address
+    )
+    try:
+        question = maporders.EngineQuestion(counts=True, experts=True)
+        return await client.observe(question)
+    finally:
+        client.close()
+        await server.close()
+
+
+@behave.given("an engine whose {document} {fault}")
+def make_faulty_engine(context, document, fault):
+    report = asyncio.run(observe_engine("", ""))
+    assert report.counts == (3, 1, 2) and len(report.experts) == 2, report
+    context.faulty, context.fault = document, fault
+
+
+@behave.then("reading the engine's state fails")
+def check_engine_fault(context):
+    try:
+        report = asyncio.run(observe_engine(context.faulty, context.fault))
+    except errors.LycheegaugeError:
+        return
+    raise AssertionError(f"read as {report}")
+
+
 @behave.then("an order is reported as unanswered within {limit_s:f} seconds")
 def check_silent_engine(context, limit_s):
     # A switch may send up to about ten orders in a row to each rank, and a pause
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -35,7 +35,7 @@
 
 
 class ScriptedServer:
-    """A backend server; ``make_reply`` maps a request's headers to a ``Reply``."""
+    """A server; ``make_reply`` maps a request's headers and target to a ``Reply``."""
 
     def __init__(self, make_reply):
         self.make_reply = make_reply
@@ -57,10 +57,10 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                lines = [line for line in head.split("\r\n")[1:] if line]
+                first, *lines = head.rstrip("\r\n").split("\r\n")
                 fields = dict(line.lower().split(": ", 1) for line in lines)
                 await reader.readexactly(int(fields.get("content-length", 0)))
-                reply = self.make_reply(fields)
+                reply = self.make_reply(fields, first.split(" ")[1])
                 writer.write(reply.sent)
                 await writer.drain()
                 if reply.ending == "reset":
