Don't take the end of a plain service's connection for its response's end

What callers would see, in a deployment with agents: a plain service that answers with neither a length nor chunks and dies or is reset within its response gave a complete answer with half a body. For a request that may not be repeated, the half was also stored as the answer to every resend.

Cause: tornado's client reads such a response until the connection ends, by a reset too, and reports it like any other.

The adapter uses the project's own connections now, which tell a reset from a close. A reset fails the run as reached. Redirects are no longer followed and no compressed body is asked for: a plain service's response is passed on as it is.

The completions adapter has an end marker.

--- a/src/lycheegauge/internal/coordination/runs.py
+++ b/src/lycheegauge/internal/coordination/runs.py
@@ -44,6 +44,7 @@
             chunk.body,
             chunk.status,
             chunk.content_type,
+            chunk.is_close_delimited,
         )
         self.chunks += 1
         self.next_token += len(chunk.tokens)
--- a/src/lycheegauge/internal/protocol/work.py
+++ b/src/lycheegauge/internal/protocol/work.py
@@ -107,7 +107,8 @@
 
     ``sequence`` counts the chunks of one attempt from 0; ``first_token`` is the
     index of ``tokens[0]`` in the complete answer. The answer of a plain service is
-    one chunk with ``body`` and ``status``.
+    one chunk with ``body`` and ``status``; with ``is_close_delimited`` the body had
+    neither a length nor chunks, so its end is not confirmed.
     """
 
     request_id: str
@@ -118,6 +119,7 @@
     body: bytes = b""
     status: int = 200
     content_type: str = ""
+    is_close_delimited: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/transport/callers.py
+++ b/src/lycheegauge/internal/transport/callers.py
@@ -6,12 +6,13 @@
 import typing
 
 import pydantic
+import tornado.httputil
 import tornado.iostream
 from returns import result
 
 from lycheegauge import settings
 from lycheegauge.internal.protocol import calls, work
-from lycheegauge.internal.transport import web
+from lycheegauge.internal.transport import closedelimited, web
 
 EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -237,6 +238,19 @@
             session.cancel()
             self.abort()
 
+    def finish_close_delimited(self, body: bytes) -> None:
+        """Sends the response with neither a length nor chunks."""
+        status, headers = self.get_status(), self._headers
+        if self.request.connection is None:
+            return
+        response = closedelimited.CloseDelimitedResponse(
+            self.detach(), self.on_connection_close
+        )
+        start = tornado.httputil.ResponseStartLine("HTTP/1.1", status, self._reason)
+        response.write_headers(start, headers)
+        response.write(body)
+        response.finish()
+
     def abort(self) -> None:
         """Closes the connection, so that a truncated response can't look complete."""
         if self.request.connection is not None:
@@ -269,6 +283,9 @@
             self._handler.set_status(chunk.status)
             content_type = chunk.content_type or "application/octet-stream"
             self._handler.set_header("Content-Type", content_type)
+            if chunk.is_close_delimited:
+                self._handler.finish_close_delimited(chunk.body)
+                return
             # tornado rejects a body with status 204, even an empty one.
             self._handler.finish(chunk.body or None)
             return
--- a/src/lycheegauge/internal/transport/engines.py
+++ b/src/lycheegauge/internal/transport/engines.py
@@ -15,7 +15,7 @@
 
 from lycheegauge import errors
 from lycheegauge.internal.protocol import work
-from lycheegauge.internal.transport import tokenstreams
+from lycheegauge.internal.transport import tokenstreams, upstream
 
 RUN_TIMEOUT_S = 3600.0
 CONNECT_TIMEOUT_S = 2.0
@@ -100,10 +100,9 @@
 
 
 class HttpEngine:
-    """Base of the adapters that use HTTP."""
+    """Base of the adapters for engines that mark the end of a response themselves."""
 
     capabilities = Capabilities()
-    max_response_bytes: int | None = None
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -116,7 +115,6 @@
             self._client = tornado.httpclient.AsyncHTTPClient(
                 force_instance=True,
                 max_clients=MAX_CONCURRENT_RUNS,
-                max_body_size=self.max_response_bytes,
             )
         return self._client
 
@@ -125,9 +123,6 @@
         if self._client is not None:
             self._client.close()
 
-    async def cancel(self, request_id: str) -> None:
-        """Does nothing, as a plain service can't stop a run."""
-
     async def post(
         self,
         path: str,
@@ -166,33 +161,94 @@
 
 
 @register_engine("plain")
-class PlainEngine(HttpEngine):
-    """Adapter for plain services: one request, one response."""
+class PlainEngine:
+    """Adapter for plain services: one request, one response.
+
+    tornado's client would take any end of the connection, even a reset, for the end of
+    a response with neither a length nor chunks.
+    """
 
     capabilities = Capabilities(load_reports=True)
-    max_response_bytes = MAX_RESPONSE_BYTES
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._pool = upstream.ConnectionPool()
+
+    def close(self) -> None:
+        """Closes the connections to the service."""
+        self._pool.close()
+
+    async def cancel(self, request_id: str) -> None:
+        """Does nothing, as a plain service can't stop a run."""
 
     async def run(
         self, order: work.WorkOrder
     ) -> collections.abc.AsyncIterator[work.AgentReply]:
         """Forwards the request body and yields the response as one chunk."""
         request = order.request
-        headers = {"Lycheegauge-Request-Id": request.request_id}
-        if request.idempotency_key:
-            headers["Idempotency-Key"] = request.idempotency_key
-        response = await self.post("/call", request.body, headers)
+        try:
+            async with asyncio.timeout(RUN_TIMEOUT_S):
+                head, body = await self._exchange(request)
+        except TimeoutError as error:
+            message = f"no complete response within {RUN_TIMEOUT_S} s"
+            raise errors.BackendServerFailedError(
+                message, "run", self.address
+            ) from error
         chunk = work.AnswerChunk(
             request.request_id,
             order.attempt,
             sequence=0,
-            body=response.body,
-            status=response.code,
-            content_type=response.headers.get("Content-Type", "application/json"),
+            body=body,
+            status=head.status,
+            content_type=head.get("Content-Type") or "application/json",
+            is_close_delimited=head.framing is upstream.Framing.CONNECTION,
         )
         yield work.AgentReply(chunk=chunk)
         end = work.AnswerEnd(request.request_id, order.attempt, 1, 0)
         yield work.AgentReply(end=end)
 
+    async def _exchange(
+        self, request: work.Request
+    ) -> tuple[upstream.ResponseHead, bytes]:
+        """Sends a request on a new connection and reads the response.
+
+        A connection that was idle could be closed by the service just before the
+        request, which might then have been run or not.
+
+        Raises:
+            errors.BackendServerFailedError: No complete response was received.
+        """
+        try:
+            connection = await self._pool.connect(self.address, self.address)
+        except errors.PeerUnreachableError as error:
+            reached = not isinstance(error.__cause__, ConnectionRefusedError)
+            raise errors.BackendServerFailedError(
+                error.message, "run", self.address, reached
+            ) from error
+        try:
+            connection.send(self._make_head(request), request.body)
+            head = await connection.read_head()
+            body = bytearray()
+            while part := await connection.read_chunk():
+                body += part
+                if len(body) > MAX_RESPONSE_BYTES:
+                    message = f"response larger than {MAX_RESPONSE_BYTES} bytes"
+                    raise errors.BackendServerFailedError(message, "run", self.address)
+            return head, bytes(body)
+        finally:
+            connection.abort()
+
+    def _make_head(self, request: work.Request) -> upstream.RequestHead:
+        fields = [
+            ("Host", self.address),
+            ("Connection", "close"),
+            ("Content-Length", str(len(request.body))),
+            ("Lycheegauge-Request-Id", request.request_id),
+        ]
+        if request.idempotency_key:
+            fields.append(("Idempotency-Key", request.idempotency_key))
+        return upstream.RequestHead("POST", "/call", tuple(fields))
+
 
 @register_engine("completions")
 class CompletionsEngine(HttpEngine):
--- a/tests/failures/engines.feature
+++ b/tests/failures/engines.feature
@@ -26,3 +26,10 @@
   Scenario: a plain engine whose response is truncated or too large fails the run
     Then the plain adapter fails as reached when the response is truncated or too large
     And the plain adapter fails as not reached when the connection is refused
+
+  # Guards against taking the end of a service's connection for the end of its response.
+  Scenario: A plain response with neither a length nor chunks does not state its end
+    Then the plain adapter marks a response that ends with its connection
+    And the plain adapter fails as reached when such a response is reset
+    And a stored answer keeps the mark
+    And its caller gets neither a length nor chunks but the end of the connection
--- a/tests/steps/engines.py
+++ b/tests/steps/engines.py
@@ -5,8 +5,10 @@
 import behave
 import hypothesis
 from hypothesis import strategies
+from support import badinput, gatewayhost
 
 from lycheegauge import errors
+from lycheegauge.internal.coordination import answers, runs
 from lycheegauge.internal.protocol import calls, work
 from lycheegauge.internal.transport import engines, tokenstreams
 
@@ -188,6 +190,74 @@
         assert failure is not None and failure.reached, answer
 
 
+UNFRAMED = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{"slot": 7}'
+
+
+@behave.then("the plain adapter marks a response that ends with its connection")
+def check_unframed(context):
+    replies, failure = run_bounded(run_engine("plain", UNFRAMED))
+    assert failure is None and len(replies) == 2 and replies[1].end, (replies, failure)
+    context.chunk = replies[0].chunk
+    assert context.chunk.body == b'{"slot": 7}'
+    assert context.chunk.content_type == "application/json"
+    assert context.chunk.is_close_delimited
+    framed = UNFRAMED.replace(b"\r\n\r\n", b"\r\nContent-Length: 11\r\n\r\n")
+    replies, failure = run_bounded(run_engine("plain", framed))
+    assert failure is None and not replies[0].chunk.is_close_delimited
+
+
+@behave.then("the plain adapter fails as reached when such a response is reset")
+def check_unframed_reset(context):
+    async def run():
+        reply = gatewayhost.Reply(UNFRAMED[:-3], "reset")
+        server = gatewayhost.ScriptedServer(lambda fields, target: reply)
+        await server.start()
+        engine = engines.make_engine("plain", server.address)
+        try:
+            return [reply async for reply in engine.run(make_order())]
+        except errors.BackendServerFailedError as error:
+            return error
+        finally:
+            engine.close()
+            await server.close()
+
+    failure = run_bounded(run())
+    assert isinstance(failure, errors.BackendServerFailedError), failure
+    assert failure.reached
+
+
+@behave.then("a stored answer keeps the mark")
+def check_stored(context):
+    order = dataclasses.replace(make_order(), attempt=1)
+    unsafe = dataclasses.replace(order.request, repeatable=False)
+    run = runs.Run(dataclasses.replace(order, request=unsafe), None, 0.0, 0)
+    run.add_chunk(context.chunk, 1.0)
+    stored = answers.decode_stored_answer(run.encode_answer(), "again", 2)
+    assert stored.chunk.body == context.chunk.body
+    assert stored.chunk.is_close_delimited
+
+
+@behave.then(
+    "its caller gets neither a length nor chunks but the end of the connection"
+)
+def check_unframed_caller(context):
+    async def run():
+        listeners = badinput.Listeners()
+        listeners.delegate.plain_chunk = context.chunk
+        await listeners.start()
+        try:
+            address = listeners.addresses["callers"]
+            return await gatewayhost.call(address, "/v1/services/booking")
+        finally:
+            await listeners.close()
+
+    received = run_bounded(run())
+    assert received.status == 200 and received.body == context.chunk.body
+    assert received.end == "closed", received
+    assert received.headers["content-type"] == "application/json"
+    assert received.headers["connection"] == "close"
+
+
 @behave.then("the plain adapter fails as not reached when the connection is refused")
 def check_plain_refused(context):
     replies, failure = run_bounded(run_engine("plain", b"", refuse=True))
