--- a/src/lycheegauge/internal/state/journal.py
+++ b/src/lycheegauge/internal/state/journal.py
@@ -89,6 +89,7 @@
             identity = self._read_identity()
             self._snapshot = self._read_record_file(SNAPSHOT_FILE)
             self._read_log()
+            self._check_continuity()
             self._log = self._files.open_append(self._folder / LOG_FILE)
             self._files.sync_folder(self._folder)
         except OSError as error:
@@ -221,6 +222,25 @@
             self._update_copy(codec.unpack(body))
         self._record_count = len(scan.bodies)
 
+    def _check_continuity(self) -> None:
+        """Checks that the log continues the snapshot, so that neither was lost.
+
+        A snapshot is only written together with a log of at least one record.
+        """
+        covered = self._snapshot.last_index if self._snapshot is not None else 0
+        first = self._entries[0].index if self._entries else covered + 1
+        problem = ""
+        if self._snapshot is not None and not self._record_count:
+            problem = "has no record although there is a snapshot"
+        elif first > covered + 1:
+            problem = f"starts at entry {first}, but the snapshot ends at {covered}"
+        if problem:
+            raise errors.JournalDamagedError(
+                f"{self._folder / LOG_FILE} {problem}; replace this voter and start "
+                "the host with an empty data folder",
+                "open journal",
+            )
+
 
 def _describe_failure(
     folder: pathlib.Path, step: str, error: OSError
--- a/tests/failures/agreementjournal.feature
+++ b/tests/failures/agreementjournal.feature
@@ -14,6 +14,13 @@
     Given a log journal of 5 records
     Then a crash at any file operation of a snapshot keeps the newest entry
 
+  # Guards against taking a file that is missing or ends too early for an empty one.
+  Scenario: A journal that has lost its log or its snapshot is reported as damaged
+    Given a log journal of 5 records
+    And a snapshot that covers its first 4 entries
+    Then the journal opens with the snapshot and entry 5
+    But it is damaged without its log, with an empty log and without its snapshot
+
   Scenario: A wiped data folder gets a new identity, and an identity is written only once
     Given a log journal of 5 records
     Then its identity cannot be written again, and a wiped folder gets another one
--- a/tests/steps/agreementjournal.py
+++ b/tests/steps/agreementjournal.py
@@ -167,6 +167,47 @@
     assert set(found_states) == {(0, 5), (4, 5), (4, 6)}, found_states
 
 
+@behave.given("a snapshot that covers its first {count:d} entries")
+def write_snapshot(context, count):
+    membership = agreement.Membership((VOTER,))
+    opened, _ = open_journal(context.folder)
+    snapshot = agreement.Snapshot(count, 1, membership, b"state")
+    opened.persist(agreement.Persist(None, 0, (), snapshot))
+    opened.close()
+
+
+@behave.then("the journal opens with the snapshot and entry {index:d}")
+def check_snapshot(context, index):
+    opened, stored = open_journal(copy_folder(context))
+    opened.close()
+    assert stored.snapshot.last_index == index - 1
+    assert [entry.index for entry in stored.entries] == [index]
+    assert stored.hard_state == agreement.HardState(1, VOTER)
+
+
+@behave.then(
+    "it is damaged without its log, with an empty log and without its snapshot"
+)
+def check_missing_files(context):
+    def truncate(path):
+        path.write_bytes(b"")
+
+    losses = {
+        "log": (pathlib.Path.unlink, truncate),
+        "snapshot": (pathlib.Path.unlink,),
+    }
+    for name, lose in ((n, lose) for n, ways in losses.items() for lose in ways):
+        folder = copy_folder(context)
+        lose(folder / name)
+        try:
+            opened, stored = open_journal(folder)
+        except errors.JournalDamagedError as error:
+            assert str(folder / "log") in error.message, error.message
+            continue
+        opened.close()
+        raise AssertionError(f"opened without its whole {name}: {stored}")
+
+
 @behave.then(
     "its identity cannot be written again, and a wiped folder gets another one"
 )
