Report a broken-off answer to an operator's command as unavailable

What operators saw: a command whose answer was cut ended with a stack trace (with a length, in chunks, or within the head) or with exit code 2, "invalid usage or settings" (with neither). A script couldn't tell that the call, a confirm too, may have taken effect.

Cause: only OSErrors of the HTTP client were caught, and a document that can't be read counted as the operator's mistake. Both are an entry host that gave no complete answer: exit code 3, with what was received. A whole document states its own end, so none was taken for complete.

--- a/src/lycheegauge/command.py
+++ b/src/lycheegauge/command.py
@@ -425,8 +425,8 @@
         The answer's document of type ``document_type``, or the error document.
 
     Raises:
-        errors.PeerUnreachableError: The entry host did not answer, or answered with
-            something other than an error document.
+        errors.PeerUnreachableError: The entry host gave no complete answer, or
+            something other than a document. The call may have taken effect.
     """
     client = tornado.httpclient.HTTPClient()
     try:
@@ -437,16 +437,20 @@
             request_timeout=CALL_TIMEOUT_S,
             raise_error=False,
         )
-    except OSError as error:
+    except (OSError, tornado.httpclient.HTTPError) as error:
         raise errors.PeerUnreachableError(
-            str(error), "call entry host", host
+            f"no complete answer: {error}", "call entry host", host
         ) from error
     finally:
         client.close()
     if response.code == 200:
-        return operations.parse_document(document_type, response.body).alt(
-            operations.describe_error
+        answer: result.Result[typing.Any, errors.BorderError] = (
+            operations.parse_document(document_type, response.body)
         )
+        if isinstance(answer, result.Failure):
+            message = f"the answer is incomplete or malformed: {answer.failure()}"
+            raise errors.PeerUnreachableError(message, "call entry host", host)
+        return result.Success(answer.unwrap())
     document = operations.parse_document(operations.ErrorDocument, response.body or b"")
     if isinstance(document, result.Failure):
         message = f"status {response.code} {response.reason}"
--- a/tests/properties/command.feature
+++ b/tests/properties/command.feature
@@ -22,6 +22,12 @@
       | lost leadership          | 3    |
       | something that isn't us  | 3    |
       | nothing                  | 3    |
+      | half with a length       | 3    |
+      | half in chunks           | 3    |
+      | half with neither        | 3    |
+      | half, and is reset       | 3    |
+      | nothing with neither     | 3    |
+      | half of a head           | 3    |
 
   Scenario: a plan is written, confirmed and shown with exit code 0 as text and JSON
     Given a fake operator listener that answers as an entry host does
--- a/tests/steps/command.py
+++ b/tests/steps/command.py
@@ -15,6 +15,7 @@
 import tornado.ioloop
 import tornado.netutil
 import tornado.web
+from support import gatewayhost
 
 from lycheegauge import command, errors
 from lycheegauge.internal.protocol import operations
@@ -154,6 +155,40 @@
     assert "wrong.json" in error and "entry.nme" in error
 
 
+class BrokenOperatorListener:
+    """An operator listener that breaks off each answer."""
+
+    def __init__(self, reply):
+        self._server = gatewayhost.ScriptedServer(lambda fields, target: reply)
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        self._run(self._server.start())
+        self.address = self._server.address
+
+    def _run(self, coroutine):
+        asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(20)
+
+    def close(self):
+        self._run(self._server.close())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(20)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+HALF = b'{"revision": 2, "in_force": tr'
+BROKEN_ANSWERS = {
+    "half with a length": (HEAD + b"Content-Length: 60\r\n\r\n" + HALF, "close"),
+    "half in chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n1e\r\n" + HALF + b"\r\n", "close",
+    ),
+    "half with neither": (HEAD + b"\r\n" + HALF, "close"),
+    "half, and is reset": (HEAD + b"\r\n" + HALF, "reset"),
+    "nothing with neither": (HEAD + b"\r\n", "close"),
+    "half of a head": (HEAD, "close"),
+}  # fmt: skip
+
+
 @behave.given("a fake operator listener that answers {answer}")
 def start_fake_listener(context, answer):
     if answer == "as an entry host does":
@@ -166,7 +201,11 @@
     else:
         answers = {"": (200 if answer == "nothing" else 404, "<html>")}
     context.answers = answers
-    context.fake = FakeOperatorListener(answers)
+    if answer in BROKEN_ANSWERS:
+        reply = gatewayhost.Reply(*BROKEN_ANSWERS[answer])
+        context.fake = BrokenOperatorListener(reply)
+    else:
+        context.fake = FakeOperatorListener(answers)
     context.closers.append(context.fake.close)
     if answer == "nothing":
         context.fake.close()
