Say when a log file that is read ends within a line

What an engineer would see: trace and logs-summary of a log that was cut off (a copy taken while the process wrote, a full disk) looked like those of a whole one; the cut line was skipped like text that is no log line.

Both commands now name such a file on standard error. A file that was cut between two lines can't be told from a whole one, and the doc string says so. The new scenario failed before (7 passed, 1 failed in logs.feature) and passes after (8 passed).

--- a/src/lycheegauge/internal/forwardingcommands.py
+++ b/src/lycheegauge/internal/forwardingcommands.py
@@ -4,6 +4,7 @@
 import asyncio
 import importlib
 import pathlib
+import sys
 import typing
 
 from lycheegauge import settings
@@ -55,9 +56,17 @@
     return code
 
 
+def read_logs(files: list[pathlib.Path]) -> list[traces.LogLine]:
+    """Reads the lines of log files, and names those that are cut off."""
+    for path in files:
+        if traces.is_cut_off(path):
+            print(f"{path}: the last line is incomplete", file=sys.stderr)
+    return traces.read_lines(files)
+
+
 def trace_request(options: argparse.Namespace) -> int:
     """Prints a request's log lines, and what its hosts logged shortly before."""
-    trace = traces.format_trace(options.id, traces.read_lines(options.files))
+    trace = traces.format_trace(options.id, read_logs(options.files))
     for line in trace:
         print(line)
     return EXIT_DONE if trace else EXIT_NOT_FOUND
@@ -65,6 +74,6 @@
 
 def summarise_logs(options: argparse.Namespace) -> int:
     """Prints the number of requests given up, by second and reason."""
-    for line in traces.count_reasons(traces.read_lines(options.files)):
+    for line in traces.count_reasons(read_logs(options.files)):
         print(line)
     return EXIT_DONE
--- a/src/lycheegauge/internal/traces.py
+++ b/src/lycheegauge/internal/traces.py
@@ -43,6 +43,17 @@
     return sorted(lines, key=lambda line: line.at)
 
 
+def is_cut_off(path: pathlib.Path) -> bool:
+    """Tells whether a file ends within a log line, so that later lines may be missing.
+
+    A file that ends with a whole line may have been cut off after it.
+    """
+    with path.open(encoding="utf-8", errors="replace") as content:
+        last = collections.deque(content, maxlen=1)
+    is_ended = not last or last[0].endswith("\n")
+    return not is_ended and parse_line(last[0]) is None
+
+
 def parse_line(text: str) -> LogLine | None:
     """Parses one line; returns ``None`` if it is not a log line."""
     start = text.find("{")
--- a/tests/properties/logs.feature
+++ b/tests/properties/logs.feature
@@ -14,6 +14,11 @@
     Then the trace of a request shows its lines and earlier state changes in order
     And reasons are counted by second
 
+  # Guards against taking a log that was cut off for a complete one.
+  Scenario: A log file that ends within a line is named
+    Given a log file whose last line is cut off, and a whole one
+    Then the commands that read logs say which of the two is incomplete
+
   Scenario: A failed task is logged
     Then a failed task of a daemon logs an error
 
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import dataclasses
 import inspect
 import io
@@ -12,6 +13,7 @@
 import behave
 import loguru
 
+from lycheegauge import command
 from lycheegauge.internal import events, logs, traces
 from lycheegauge.internal.coordination import requestoutcomes
 from lycheegauge.internal.daemons import (
@@ -192,6 +194,27 @@
     ]
 
 
+@behave.given("a log file whose last line is cut off, and a whole one")
+def write_cut_file(context):
+    context.files = write_files()[:2]
+    cut, whole = context.files
+    cut.write_text(cut.read_text()[:-9])
+    whole.write_text(whole.read_text() + "\n")
+
+
+@behave.then("the commands that read logs say which of the two is incomplete")
+def check_cut_file(context):
+    cut, whole = context.files
+    for arguments in (("trace", "r1"), ("logs-summary",)):
+        error = io.StringIO()
+        with contextlib.redirect_stdout(io.StringIO()) as out:
+            with contextlib.redirect_stderr(error):
+                code = command.main([*arguments, str(cut), str(whole)])
+        assert code == 0 and out.getvalue(), arguments
+        assert f"{cut}: the last line is incomplete" in error.getvalue(), arguments
+        assert str(whole) not in error.getvalue(), arguments
+
+
 def collect_lines(run):
     """Runs a coroutine function and returns the lines that it logged."""
     stream = io.StringIO()
