Decide on a map switch only with reports from after each rank's last order

What a model shows: an engine's report that is read from another host is up to report_lag_s old (200 ms on the platform); only its own agent reads the present state. A busy or cut-off agent is passed over within one poll, by a direct call or another agent.

The new model (latereports.py) reads the ranks one by one, leaves several orders under way, and lets passes, up to three coordinators, lost and late orders and crashes come between.

- An observation carries the earliest time of the state that it shows: when the call began, less the lag unless the engine's own agent answered.
- decide() returns nothing while a report may be from before the rank's last order ended; the next poll comes when that can be over.
With reports of the own agents nothing waits longer than before.
- With late reports the held pass is two lags further ahead.
- A target may only be set when the last decision had current reports of all ranks (is_ready).
Before, a coordinator that had not yet invalidated its predecessor's orders at a rank could plan, and two maps got one version.

The other models are unchanged but for the new argument.

--- a/src/lycheegauge/internal/coordination/groups/mapswitch.py
+++ b/src/lycheegauge/internal/coordination/groups/mapswitch.py
@@ -11,6 +11,10 @@
 earlier one permanently. A new coordinator therefore first waits until every rank has
 answered one of its own orders, which invalidates its predecessor's orders, and then
 completes or undoes the switch that it finds.
+
+A report may show an earlier state. One that may be from before the rank's last order
+ended allows no decision: it can show a held pass that a later order has replaced, or no
+armed rank where there is one.
 """
 
 import collections.abc
@@ -79,6 +83,7 @@
         self._fence = term * FENCES_PER_TERM
         self._answered_fences: dict[int, int] = {}
         self._doubtful_fences: dict[int, int] = {}
+        self._ended_at: dict[int, float] = {}
         self._prepared_at: dict[int, float] = {}
         self._group = ""
         self._epoch = NONE
@@ -91,14 +96,23 @@
         self._highest_version = 0
         # Whether no rank is armed or can become armed without an order of this object.
         self._is_unarmed = False
+        self._has_nothing_to_do = False
         self.is_fenced_out = False
         self.phase = Phase.IDLE
 
     @property
     def is_idle(self) -> bool:
-        """Whether a new target may be set."""
+        """Whether there is no switch under way."""
         return self.phase is Phase.IDLE and self._target is None
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether a new target may be set with the reports of the last decision.
+
+        They cover all ranks, are current, and leave nothing to complete or undo.
+        """
+        return self.is_idle and self._has_nothing_to_do
+
     @property
     def target_version(self) -> int:
         """The version of the last target; -1 before the first."""
@@ -134,20 +148,44 @@
         return True
 
     def set_target(self, target: Target, now: float) -> None:
-        """Starts a switch; ``is_idle`` must hold."""
+        """Starts a switch; ``is_ready`` must hold."""
         self._target = target
         self._target_version = target.version
         self._prepared_at.clear()
         self._enter_phase(Phase.PREPARING, now)
 
-    def decide(self, reports: Reports, now: float) -> list[RankOrder]:
+    def compute_outdated_s(self, as_of: collections.abc.Mapping[int, float]) -> float:
+        """Returns for how long the most outdated report may precede its rank's order.
+
+        A report that is read that much later, in the same way, is current; 0 if all
+        are.
+
+        Args:
+            as_of: The earliest time, by rank, of the state that a report shows.
+        """
+        return max(
+            (
+                self._ended_at.get(rank, shown_at) - shown_at
+                for rank, shown_at in as_of.items()
+            ),
+            default=0.0,
+        )
+
+    def decide(
+        self,
+        reports: Reports,
+        now: float,
+        as_of: collections.abc.Mapping[int, float],
+    ) -> list[RankOrder]:
         """Returns the orders to send now; while ranks are missing, only a release.
 
         Args:
-            reports: Reports by rank, each read after the previous orders ended.
+            reports: Reports by rank.
             now: Seconds.
+            as_of: The earliest time, by rank, of the state that a report shows.
         """
-        if self.is_fenced_out:
+        self._has_nothing_to_do = False
+        if self.is_fenced_out or self.compute_outdated_s(as_of) > 0.0:
             return []
         if not _is_complete(reports):
             return self._release_early(reports, now)
@@ -172,6 +210,7 @@
         self, sent: RankOrder, outcome: maporders.MapOrderOutcome, now: float
     ) -> None:
         """Handles an engine's answer to an order."""
+        self._ended_at[sent.rank] = now
         if sent.order.epoch != self._epoch:
             return
         if outcome is maporders.MapOrderOutcome.UNANSWERED:
@@ -200,6 +239,7 @@
         armed = _list_armed(reports)
         held = _list_held(reports)
         if not armed and not held:
+            self._has_nothing_to_do = True
             return []
         self._enter_phase(Phase.UNDOING, now)
         is_one_switch = len(armed) == len(reports) and (
--- a/src/lycheegauge/internal/daemons/engineroutes.py
+++ b/src/lycheegauge/internal/daemons/engineroutes.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import dataclasses
 import enum
 import typing
 
@@ -40,6 +41,21 @@
     RELAY = "another engine's agent"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observation:
+    """A report and how old its state may be.
+
+    Attributes:
+        report: The report.
+        as_of: The earliest time of the state that it shows, in seconds.
+        lag_s: How much earlier that is than the call, in seconds.
+    """
+
+    report: maporders.EngineReport
+    as_of: float
+    lag_s: float
+
+
 class DirectClient(typing.Protocol):
     """A client that calls one engine directly."""
 
@@ -88,7 +104,8 @@
         question: maporders.EngineQuestion,
         others: collections.abc.Sequence[str],
         is_urgent: bool,
-    ) -> maporders.EngineReport | None:
+        report_lag_s: float,
+    ) -> Observation | None:
         """Reads an engine's state; ``None`` if all routes to it fail.
 
         Args:
@@ -97,21 +114,37 @@
                 so only the engine's own agent is asked for them.
             others: Addresses of other engines, whose agents may relay.
             is_urgent: Whether a pass is held until the answer arrives.
+            report_lag_s: How old the state may be that the engine reports to a host
+                other than its own, in seconds.
         """
-        remote_question = maporders.EngineQuestion(False, question.experts, address)
         for route in self._list_routes(address):
+            asked_at = clock.read_clock()
             try:
-                if route is EngineRoute.AGENT:
-                    return await self._observe_by_agent(address, question, is_urgent)
-                if route is EngineRoute.STRAIGHT:
-                    return await self._get_client(address).observe(remote_question)
-                return await self._observe_by_relay(
-                    address, remote_question, others, is_urgent
+                report = await self._observe_by_route(
+                    route, address, question, others, is_urgent
                 )
             except errors.LycheegaugeError as error:
                 self._record_failure(address, route, error)
+                continue
+            lag_s = 0.0 if route is EngineRoute.AGENT else report_lag_s
+            return Observation(report, asked_at - lag_s, lag_s)
         return None
 
+    async def _observe_by_route(
+        self,
+        route: EngineRoute,
+        address: str,
+        question: maporders.EngineQuestion,
+        others: collections.abc.Sequence[str],
+        is_urgent: bool,
+    ) -> maporders.EngineReport:
+        if route is EngineRoute.AGENT:
+            return await self._observe_by_agent(address, question, is_urgent)
+        remote_question = maporders.EngineQuestion(False, question.experts, address)
+        if route is EngineRoute.STRAIGHT:
+            return await self._get_client(address).observe(remote_question)
+        return await self._observe_by_relay(address, remote_question, others, is_urgent)
+
     async def order(
         self,
         address: str,
--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -142,6 +142,28 @@
     target: list[evensplit.Placement] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class _Poll:
+    """What one poll read of a group.
+
+    Attributes:
+        reports: Reports by rank.
+        as_of: The earliest time, by rank, of the state that a report shows.
+        lag_s: The largest lag of a report, in seconds.
+    """
+
+    reports: dict[int, maporders.EngineReport] = dataclasses.field(default_factory=dict)
+    as_of: dict[int, float] = dataclasses.field(default_factory=dict)
+    lag_s: float = 0.0
+
+    def add(self, observation: engineroutes.Observation) -> None:
+        """Adds the report of one rank."""
+        rank = observation.report.rank
+        self.reports[rank] = observation.report
+        self.as_of[rank] = observation.as_of
+        self.lag_s = max(self.lag_s, observation.lag_s)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PollResult:
     """Result of one poll of a service's groups.
@@ -215,23 +237,28 @@
         )
         is_idle = all(group.switch.is_idle for group in self._groups.values())
         question = maporders.EngineQuestion(counts=is_idle, experts=is_unknown)
-        reports = await self._observe(addresses, question, is_urgent)
-        by_group: dict[str, dict[int, maporders.EngineReport]] = {}
+        observed = await self._observe(
+            addresses, question, is_urgent, service.experts.report_lag_s
+        )
+        by_group: dict[str, _Poll] = {}
         rank_addresses: dict[tuple[str, int], str] = {}
-        for server, report in reports.items():
-            by_group.setdefault(report.group, {})[report.rank] = report
+        for server, observation in observed.items():
+            report = observation.report
+            by_group.setdefault(report.group, _Poll()).add(observation)
             rank_addresses[report.group, report.rank] = addresses[server]
         waits = [_stretch_interval(OBSERVE_INTERVAL_S, len(addresses))]
-        for name, ranks in by_group.items():
+        for name, poll in by_group.items():
             group = self._get_group(name)
             group.may_copy = copytiming.may_copy(longest_gap_s, target_gap_s)
+            outdated_s = group.switch.compute_outdated_s(poll.as_of)
             orders = await self._decide(
-                name, group, ranks, service.experts, target_gap_s
+                name, group, poll, service.experts, target_gap_s
             )
             await self._send(group, name, orders, rank_addresses)
             self._log_phase(name, group)
-            waits.append(_choose_wait(group.switch.phase, bool(orders), len(ranks)))
-        silent = frozenset(addresses.keys() - reports.keys())
+            wait_s = _choose_wait(group.switch.phase, bool(orders), len(poll.reports))
+            waits.append(outdated_s or wait_s)
+        silent = frozenset(addresses.keys() - observed.keys())
         if 2 * len(silent) > len(addresses):
             # More likely this host is the one that is partitioned.
             silent = frozenset()
@@ -242,22 +269,25 @@
         addresses: dict[str, str],
         question: maporders.EngineQuestion,
         is_urgent: bool,
-    ) -> dict[str, maporders.EngineReport]:
+        report_lag_s: float,
+    ) -> dict[str, engineroutes.Observation]:
         others = list(addresses.values())
         started_at = clock.read_clock()
         answers = await asyncio.gather(
             *(
                 self._call_within_limit(
-                    self._routes.observe(address, question, others, is_urgent)
+                    self._routes.observe(
+                        address, question, others, is_urgent, report_lag_s
+                    )
                 )
                 for address in others
             )
         )
         self._round_s = clock.read_clock() - started_at
         return {
-            server: report
-            for server, report in zip(addresses, answers, strict=True)
-            if report is not None
+            server: observation
+            for server, observation in zip(addresses, answers, strict=True)
+            if observation is not None
         }
 
     def _log_phase(self, name: str, group: _Group) -> None:
@@ -292,11 +322,11 @@
         self,
         name: str,
         group: _Group,
-        reports: dict[int, maporders.EngineReport],
+        poll: _Poll,
         experts: routetables.ExpertLayout,
         target_gap_s: float,
     ) -> list[mapswitch.RankOrder]:
-        now = clock.read_clock()
+        now, reports = clock.read_clock(), poll.reports
         with self._meter.measure("count_expert_choices"):
             group.demand.add_reports(reports.values(), now)
         _update_pass_time(group, reports, now)
@@ -304,6 +334,8 @@
         is_unreliable = now - group.unanswered_at < RECENTLY_UNANSWERED_S
         hold_ahead_s = HOLD_AHEAD_UNRELIABLE_S if is_unreliable else HOLD_AHEAD_S
         hold_ahead_s = max(hold_ahead_s, HOLD_AHEAD_ROUNDS * self._round_s)
+        # Current reports are needed after the order to hold and after arming.
+        hold_ahead_s += 2 * poll.lag_s
         group.switch.set_hold_ahead(
             _choose_hold_ahead_steps(hold_ahead_s, group.pass_s), hold_ahead_s
         )
@@ -314,8 +346,8 @@
                 loguru.logger.info(
                     "dropped the planned expert map: paces changed", group=name
                 )
-        orders = group.switch.decide(reports, now)
-        if orders or not group.switch.is_idle or not group.placements:
+        orders = group.switch.decide(reports, now, poll.as_of)
+        if not group.switch.is_ready or not group.placements:
             return orders
         if now < group.plan_due_at:
             return []
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -59,6 +59,7 @@
     experts: int = pydantic.Field(ge=1)
     slots: int = pydantic.Field(ge=1)
     copies: int = pydantic.Field(default=1, ge=1)
+    report_lag_s: float = pydantic.Field(default=0.0, ge=0, le=10)
 
     def decode(self) -> routetables.ExpertLayout:
         """Converts the layout to its data class."""
--- a/src/lycheegauge/internal/protocol/routetables.py
+++ b/src/lycheegauge/internal/protocol/routetables.py
@@ -70,12 +70,15 @@
         experts: The number of experts in each layer.
         slots: How many experts of a layer fit on a rank.
         copies: How many experts of a layer a rank may copy in one map change.
+        report_lag_s: How old the state may be that an engine reports to another host,
+            in seconds. On its own host its reports are current.
     """
 
     layers: int
     experts: int
     slots: int
     copies: int
+    report_lag_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/failures/engineroutes.feature
+++ b/tests/failures/engineroutes.feature
@@ -13,6 +13,11 @@
     Given engines of which the first is partitioned from the log hosts
     Then its state has no counts, and the states of the others have them
 
+  # Guards against taking the late report of another host's engine for its state now.
+  Scenario: A report that is read from another host may show an earlier state
+    Given engines of which the first is partitioned from the log hosts
+    Then its state counts as old by the lag of its reports, the others' as current
+
   Scenario: An unanswered order is not sent again
     Given engines of which the first is partitioned from the log hosts
     Then an order to it that gets no answer is reported as unanswered
--- a/tests/models/mapswitch.feature
+++ b/tests/models/mapswitch.feature
@@ -4,6 +4,10 @@
   Scenario: No pass begins with two maps despite lost and late orders and restarts
     Then the map switch uses one map in each pass in all reachable states
 
+  # Guards against a decision on a report from before the rank's last order.
+  Scenario: No pass begins with two maps although reports are late and polls interleave
+    Then the map switch uses one map in each pass in random walks with late reports
+
   Scenario Outline: Each safeguard of the map switch is needed
     Then the map switch <variant> begins a pass with two maps
 
@@ -14,6 +18,7 @@
       | that holds no pass                         |
       | that ignores orders without an answer      |
       | that never waits for a missing rank        |
+      | that trusts late reports                   |
 
   Scenario: The loss of a rank before any rank is armed does not stop its group
     Then a pass that is held while another rank is lost is released at once
@@ -21,6 +26,9 @@
   Scenario: A group is released after any faults
     Then after any faults the newest coordinator releases the held pass
 
+  Scenario: A group is released after any faults although reports are late
+    Then after any faults the newest coordinator ends the switch with late reports
+
   Scenario: Without faults a switch ends with the new map on every rank
     Then an undisturbed map switch reaches the target on every rank
 
--- a/tests/steps/engineroutes.py
+++ b/tests/steps/engineroutes.py
@@ -11,6 +11,7 @@
 PORT = 7000
 ENGINES = [f"10.0.0.{number}:80" for number in range(1, 5)]
 QUESTION = maporders.EngineQuestion(counts=True)
+REPORT_LAG_S = 0.2
 
 
 class Network:
@@ -83,7 +84,9 @@
 
 
 def observe(context, address, others=tuple(ENGINES)):
-    return asyncio.run(context.routes.observe(address, QUESTION, others, True))
+    observing = context.routes.observe(address, QUESTION, others, True, REPORT_LAG_S)
+    context.observation = asyncio.run(observing)
+    return context.observation.report if context.observation else None
 
 
 @behave.then("its state is read through another agent within {limit:g} seconds")
@@ -99,6 +102,21 @@
     assert clock.read_clock() - started < 0.1
 
 
+@behave.then(
+    "its state counts as old by the lag of its reports, the others' as current"
+)
+def check_lag(context):
+    for address in ENGINES:
+        asked_at = clock.read_clock()
+        observe(context, address)
+        seen = context.observation
+        lag_s = REPORT_LAG_S if address == ENGINES[0] else 0.0
+        assert seen.lag_s == lag_s
+        # Failed routes may take time before the one that answers is asked.
+        assert seen.as_of >= asked_at - lag_s
+        assert seen.as_of <= clock.read_clock() - lag_s
+
+
 @behave.then("an order to it is carried out once, through another agent")
 def check_order(context):
     order = make_order()
--- a/tests/steps/mapswitch.py
+++ b/tests/steps/mapswitch.py
@@ -3,7 +3,7 @@
 import sys
 
 import behave
-from support import explorer, mapworld
+from support import explorer, latereports, mapworld
 
 from lycheegauge.internal.coordination.groups import mapswitch
 from lycheegauge.internal.daemons import mapcoordination
@@ -21,6 +21,9 @@
     "that ignores orders without an answer": functools.partial(
         FULL_POLLS, mapworld.IgnoresUnansweredOrders
     ),
+    "that trusts late reports": functools.partial(
+        latereports.LateWorld, latereports.TrustingSwitch
+    ),
     "that never waits for a missing rank": functools.partial(
         mapworld.World, mapworld.IgnoresMissingRanks
     ),
@@ -39,6 +42,32 @@
     assert not walked.problem, (walked.problem, walked.trace)
 
 
+@behave.then(
+    "the map switch uses one map in each pass in random walks with late reports"
+)
+def check_late_reports(context):
+    walked = explorer.walk(latereports.LateWorld, random.Random(1), 1500, 400)
+    assert not walked.problem, (walked.problem, walked.trace)
+
+
+@behave.then(
+    "after any faults the newest coordinator ends the switch with late reports"
+)
+def check_late_release(context):
+    source = random.Random(2)
+    for _ in range(150):
+        world = latereports.LateWorld(faults=5)
+        for _ in range(source.randrange(200)):
+            actions = world.list_actions()
+            if not actions:
+                break
+            world.act(explorer.choose_action(actions, source))
+        world.finish_undisturbed()
+        assert not world.problem, world.problem
+        assert all(rank.held == mapworld.NONE for rank in world.ranks)
+        assert not any(rank.armed for rank in world.ranks)
+
+
 @behave.then("the map switch {variant} begins a pass with two maps")
 def check_variant(context, variant):
     build_world = functools.partial(VARIANTS[variant], faults=4)
--- a/tests/steps/platform_words.py
+++ b/tests/steps/platform_words.py
@@ -54,7 +54,7 @@
                     "concurrency": 6, "kvTokens": 186000, "stride": 5,
                     "step_ms": 5.85, "per_seq_ms": 0.71, "read_per_s": 61200.0,
                     "usual": {"prompt": 835, "answer": 139}, "sets": 4,
-                    "experts": 72, "placements": 8, "spare": 3,
+                    "experts": 72, "placements": 8, "spare": 3, "report_lag_ms": 200.0,
                 },
             },
             {"name": "desk", "maxConnections": 110, "coldStartS": 0, "rampPerS": 0},
@@ -85,7 +85,7 @@
     assert [item.service for item in second.services] == ["desk"]
     drafts, desk = table.services
     assert (drafts.cold_rate, drafts.slots) == (38.0, 6)
-    assert drafts.experts == routetables.ExpertLayout(4, 72, 8, 3)
+    assert drafts.experts == routetables.ExpertLayout(4, 72, 8, 3, 0.2)
     assert desk.experts is None and desk.cold_rate == 0.0
     assert table.needs_keys and table.key_holders[0].keys == ("k1", "k2")
     assert not read(make_manifest(tenants=None)).unwrap().needs_keys
--- a/tests/support/mapworld.py
+++ b/tests/support/mapworld.py
@@ -163,17 +163,14 @@
         self.polls -= 1
         switch, reports = self.switches[number], self.make_reports()
         reports.pop(missing, None)
-        if missing != NONE:
-            orders = switch.decide(reports, self.now)
-            self.pending = [(number, order) for order in orders]
-            return
-        orders = switch.decide(reports, self.now)
-        if not orders and switch.is_idle and self.targets[number]:
+        as_of = dict.fromkeys(reports, self.now)
+        orders = switch.decide(reports, self.now, as_of)
+        if switch.is_ready and self.targets[number]:
             self.targets[number] -= 1
             version = switch.allocate_version(reports)
             layers = (f"content {number}",)
             switch.set_target(mapswitch.Target(version, layers), self.now)
-            orders = switch.decide(reports, self.now)
+            orders = switch.decide(reports, self.now, as_of)
         self.pending = [(number, order) for order in orders]
 
     def carry_out(self, order):
