Appoint a restarted coordinator of the maps with a new number

What could happen: the appointed follower restarts and pulls again within 1.25 s. It got the same appointment, began again with that number's first fences, below those that it had used, and took an answered order of its own for proof that its former orders could no longer be carried out. One that was late then armed a rank or prepared another map under the same version. Where the rank had seen higher fences, the coordinator was refused by every rank for as long as it kept pulling.

Two more ways to one number for two coordinators, found by reading: after 256 appointments in a term the number stayed the same, and a new leader that was pulled by a follower before any entry host took the number before its term's first.

Now a pull names the log host's process start, and the leader appoints anew when it changes; after 256 nobody is appointed until the next term; and the registry of the term is made before a pull is recorded.

Evidence: both new steps failed on the code before, with the argument added ([256, 256, ...] for a follower that restarts four times; numbers shared when they run out).

--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -13,6 +13,7 @@
 from lycheegauge import errors, settings
 from lycheegauge.internal.coordination import (
     mapappointments,
+    members,
     rosterregistry,
     rosterview,
 )
@@ -101,6 +102,7 @@
         )
         self._registry = rosterregistry.RosterRegistry("", self._lifetimes)
         self._registry_term = 0
+        self._incarnation = clock.create_incarnation(members.format_incarnation)
         self._appointments = mapappointments.MapAppointments(0, self.address, 0.0)
         self._appointment: roster.MapAppointment | None = None
         self._appointment_ends_at = 0.0
@@ -253,7 +255,11 @@
             )
             self.get_registry().record_gaps(request.gaps, now)
         if request.log_host:
-            self._appointments.record_pull(request.log_host, now)
+            # A new leader's first appointment must not be one of an earlier term.
+            self.get_registry()
+            self._appointments.record_pull(
+                request.log_host, request.log_host_incarnation, now
+            )
         has_recorded = await self._record_crashes(request)
         await self._proofs.confirm_leadership(now)
         proof = self._proofs.issue_proof(self.routing.revision, log_time_s=0.0)
@@ -472,7 +478,10 @@
         started_at = clock.read_clock()
         pull = self.view.begin_pull(None, started_at)
         message = dataclasses.replace(
-            pull.message, log_host=self.address, silent_servers=self.silent_servers
+            pull.message,
+            log_host=self.address,
+            log_host_incarnation=self._incarnation,
+            silent_servers=self.silent_servers,
         )
         reply = await self._client.pull_from(leader, message)
         self.view.apply_reply(pull, reply, clock.read_clock())
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -109,8 +109,9 @@
 
     ``open_requests`` are the requester's own, ``gaps`` those since its last
     request. ``crashes`` and ``cleared`` are resent until the log has stored them.
-    ``log_host`` is the address of a log host that pulls, and ``silent_servers`` are
-    those that it can't reach while it coordinates the expert maps.
+    ``log_host`` is the address of a log host that pulls, ``log_host_incarnation`` names
+    its process start, and ``silent_servers`` are those that it can't reach while it
+    coordinates the expert maps.
     """
 
     host: HostListing | None
@@ -125,6 +126,7 @@
     gaps: tuple[ServiceGap, ...] = ()
     log_host: str = ""
     silent_servers: tuple[str, ...] = ()
+    log_host_incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/properties/roster.feature
+++ b/tests/properties/roster.feature
@@ -35,6 +35,8 @@
   Scenario: A follower of the log's leader coordinates the expert maps
     Then one follower keeps its appointment as long as it pulls
     And two hosts never hold an appointment at the same time
+    And a follower that has restarted gets an appointment with a higher number
+    And a term's numbers are never used twice, even when they run out
     And a leader without followers coordinates the maps itself
 
   Scenario: A voter whose disk was lost is replaced quickly
--- a/tests/steps/roster.py
+++ b/tests/steps/roster.py
@@ -424,7 +424,7 @@
     for tick in range(1, 100):
         now = tick * 0.3
         for host in ("b", "a", "c"):
-            appointments.record_pull(host, now)
+            appointments.record_pull(host, "start", now)
             chosen.add(appointments.appoint(now))
     assert len(chosen) == 1 and "leader" not in chosen, chosen
     assert appointments.number == 3 * mapappointments.APPOINTMENTS_PER_TERM
@@ -442,7 +442,7 @@
                 if source.random() < 0.05:
                     # The pull was sent some time before the leader received it.
                     sent_at = now - source.random() * 0.3
-                    appointments.record_pull(host, now)
+                    appointments.record_pull(host, "start", now)
                     if appointments.appoint(now) == host:
                         held_until[host] = sent_at + mapappointments.APPOINTMENT_S
                         numbers.append(appointments.number)
@@ -453,12 +453,42 @@
         assert numbers == sorted(numbers)
 
 
+@behave.then("a follower that has restarted gets an appointment with a higher number")
+def check_restarted_follower(context):
+    appointments = mapappointments.MapAppointments(1, "leader", 0.0)
+    numbers = []
+    for tick in range(1, 9):
+        # The process restarts every 0.6 s, sooner than its appointment ends.
+        appointments.record_pull("a", f"start {tick // 2}", tick * 0.3)
+        assert appointments.appoint(tick * 0.3) == "a"
+        numbers.append(appointments.number)
+    first = mapappointments.APPOINTMENTS_PER_TERM
+    assert numbers == [first + tick // 2 for tick in range(1, 9)], numbers
+
+
+@behave.then("a term's numbers are never used twice, even when they run out")
+def check_numbers_run_out(context):
+    appointments = mapappointments.MapAppointments(1, "leader", 0.0)
+    users, now = {}, 1.0
+    for turn in range(2 * mapappointments.APPOINTMENTS_PER_TERM):
+        # One host after the other pulls, and the one before falls silent.
+        now += mapappointments.APPOINT_AFTER_S
+        host = f"host {turn % 3}"
+        appointments.record_pull(host, "start", now)
+        appointed = appointments.appoint(now)
+        if appointed:
+            number = appointments.number
+            assert users.setdefault(number, (appointed, turn)) == (appointed, turn)
+            assert number < 2 * mapappointments.APPOINTMENTS_PER_TERM
+    assert len(users) == mapappointments.APPOINTMENTS_PER_TERM
+
+
 @behave.then("a leader without followers coordinates the maps itself")
 def check_lone_leader(context):
     appointments = mapappointments.MapAppointments(1, "leader", 0.0)
     assert appointments.appoint(mapappointments.FIRST_PULLS_S) == "leader"
     first = appointments.number
-    appointments.record_pull("a", 5.0)
+    appointments.record_pull("a", "start", 5.0)
     assert appointments.appoint(5.0) == "a" and appointments.number > first
     late = 5.0 + mapappointments.APPOINT_AFTER_S
     assert appointments.appoint(late) == "leader"
--- a/tests/support/latereports.py
+++ b/tests/support/latereports.py
@@ -51,15 +51,9 @@
         lag_s: The lag that coordinators assume for a report that may be late.
     """
 
-    def __init__(
-        self,
-        switch_class=mapswitch.MapSwitch,
-        faults=4,
-        lag_s=LAG_S,
-        allows_restarts=False,
-    ):
+    def __init__(self, switch_class=mapswitch.MapSwitch, faults=4, lag_s=LAG_S):
         super().__init__(switch_class, faults=faults)
-        self.allows_restarts = allows_restarts
+        self.appointments = 1
         self.lag_s = lag_s
         self.polls, self.passes = POLLS, PASSES
         self.coordinators = [Coordinator(switch_class(1))]
@@ -84,9 +78,8 @@
             actions += [("fault", "crash"), ("fault", "wait")]
             if len(self.coordinators) < COORDINATORS_MAX:
                 actions.append(("fault", "add_coordinator"))
-            if self.allows_restarts:
-                count = len(self.coordinators)
-                actions += [("fault", f"restart {number}") for number in range(count)]
+            count = len(self.coordinators)
+            actions += [("fault", f"restart {number}") for number in range(count)]
         return actions
 
     def list_moves(self, number, coordinator):
@@ -182,23 +175,26 @@
         self.late.append(self.take_order(number, mapworld.Outcome.UNANSWERED))
 
     def do_restart(self, number):
-        """Restarts a coordinator, which begins again with the same number."""
+        """Restarts a coordinator, which is appointed anew with a higher number."""
         self.faults -= 1
         former = self.coordinators[number]
         self.late += [order for order, outcome in former.orders if outcome is None]
-        self.coordinators[number] = Coordinator(self.switch_class(number + 1))
+        self.coordinators[number] = self.appoint()
 
     def do_add_coordinator(self):
         self.faults -= 1
-        number = len(self.coordinators) + 1
-        self.coordinators.append(Coordinator(self.switch_class(number)))
+        self.coordinators.append(self.appoint())
+
+    def appoint(self):
+        self.appointments += 1
+        return Coordinator(self.switch_class(self.appointments))
 
     def finish_undisturbed(self, polls=400):
         """Runs the newest coordinator alone, with late reports, and then passes."""
         self.passes = self.polls = 10 * polls
-        newest = self.coordinators[-1]
-        newest.targets, newest.orders, newest.unread = 0, [], []
-        number = len(self.coordinators) - 1
+        newest = self.appoint()
+        newest.targets, number = 0, len(self.coordinators)
+        self.coordinators.append(newest)
         for _ in range(polls):
             for _ in range(mapworld.RANKS):
                 self.act(("step", f"read_late {number}"))
