--- a/tests/steps/mapswitch.py
+++ b/tests/steps/mapswitch.py
@@ -57,15 +57,23 @@
     source = random.Random(2)
     for _ in range(150):
         world = latereports.LateWorld(faults=5)
-        for _ in range(source.randrange(200)):
-            actions = world.list_actions()
-            if not actions:
-                break
-            world.act(explorer.choose_action(actions, source))
+        act_at_random(world, source, 200)
         world.finish_undisturbed()
-        assert not world.problem, world.problem
-        assert all(rank.held == mapworld.NONE for rank in world.ranks)
-        assert not any(rank.armed for rank in world.ranks)
+        check_ended(world)
+
+
+def act_at_random(world, source, actions_max):
+    for _ in range(source.randrange(actions_max)):
+        actions = world.list_actions()
+        if not actions:
+            break
+        world.act(explorer.choose_action(actions, source))
+
+
+def check_ended(world):
+    assert not world.problem, world.problem
+    assert all(rank.held == mapworld.NONE for rank in world.ranks)
+    assert not any(rank.armed for rank in world.ranks)
 
 
 @behave.then("the map switch {variant} begins a pass with two maps")
@@ -84,15 +92,9 @@
     source = random.Random(2)
     for _ in range(400):
         world = mapworld.World(faults=4)
-        for _ in range(source.randrange(60)):
-            actions = world.list_actions()
-            if not actions:
-                break
-            world.act(explorer.choose_action(actions, source))
+        act_at_random(world, source, 60)
         world.settle()
-        assert not world.problem, world.problem
-        assert all(rank.held == mapworld.NONE for rank in world.ranks)
-        assert not any(rank.armed for rank in world.ranks)
+        check_ended(world)
 
 
 @behave.then("an undisturbed map switch reaches the target on every rank")
