Begin a term's appointments before one is made, and tidy the response types

The term's registry comes first. - a response's framing has no default, the status codes without a body stand once, and read_chunk says what its end means.

--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -255,7 +255,7 @@
             )
             self.get_registry().record_gaps(request.gaps, now)
         if request.log_host:
-            # A new leader's first appointment must not be one of an earlier term.
+            # Begins the appointments of a new term, if there is one.
             self.get_registry()
             self._appointments.record_pull(
                 request.log_host, request.log_host_incarnation, now
@@ -277,9 +277,11 @@
         self, request: roster.RosterPull, now: float
     ) -> roster.MapAppointment | None:
         """Renews the appointment of the log host that coordinates the maps."""
+        # Begins the appointments of a new term, if there is one.
+        registry = self.get_registry()
         if not request.log_host or self._appointments.appoint(now) != request.log_host:
             return None
-        self.get_registry().update_silent(request.silent_servers)
+        registry.update_silent(request.silent_servers)
         return roster.MapAppointment(
             self._appointments.number, self.list_longest_gaps(now)
         )
--- a/src/lycheegauge/internal/transport/callers.py
+++ b/src/lycheegauge/internal/transport/callers.py
@@ -240,14 +240,15 @@
 
     def finish_close_delimited(self, body: bytes) -> None:
         """Sends the response with neither a length nor chunks."""
-        status, headers = self.get_status(), self._headers
         if self.request.connection is None:
             return
         response = closedelimited.CloseDelimitedResponse(
             self.detach(), self.on_connection_close
         )
-        start = tornado.httputil.ResponseStartLine("HTTP/1.1", status, self._reason)
-        response.write_headers(start, headers)
+        start = tornado.httputil.ResponseStartLine(
+            "HTTP/1.1", self.get_status(), self._reason
+        )
+        response.write_headers(start, self._headers)
         response.write(body)
         response.finish()
 
--- a/src/lycheegauge/internal/transport/closedelimited.py
+++ b/src/lycheegauge/internal/transport/closedelimited.py
@@ -13,6 +13,9 @@
 import tornado.httputil
 import tornado.iostream
 
+BODYLESS_STATUS_CODES = (204, 304)
+"""Status codes of responses that have no body (RFC 9112, section 6.3)."""
+
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _LINGER_OFF = struct.pack("ii", 0, 0)
 
--- a/src/lycheegauge/internal/transport/ingress.py
+++ b/src/lycheegauge/internal/transport/ingress.py
@@ -9,8 +9,6 @@
 
 from lycheegauge.internal.transport import clock, closedelimited
 
-BODYLESS_STATUS_CODES = (204, 304)
-
 MAX_UNSENT_BYTES = 65_536
 """With more unsent data than this, writing waits until the caller has read it."""
 
@@ -88,7 +86,8 @@
     def _must_end_by_closing(
         self, status: int, headers: tornado.httputil.HTTPHeaders
     ) -> bool:
-        has_body = self.method != "HEAD" and status not in BODYLESS_STATUS_CODES
+        is_bodyless = status in closedelimited.BODYLESS_STATUS_CODES
+        has_body = self.method != "HEAD" and not is_bodyless
         return has_body and not self._accepts_chunks and "Content-Length" not in headers
 
     def _detach(self) -> None:
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -16,7 +16,7 @@
 import h11
 
 from lycheegauge import errors
-from lycheegauge.internal.transport import clock, peers
+from lycheegauge.internal.transport import clock, closedelimited, peers
 
 CONNECT_TIMEOUT_S = 0.4
 """A lost SYN is only resent after seconds; trying another server is faster."""
@@ -44,9 +44,6 @@
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
 
-BODYLESS_STATUS_CODES = (204, 304)
-
-
 class Framing(enum.StrEnum):
     """What marks the end of a response's body (RFC 9112, section 6.3)."""
 
@@ -68,7 +65,7 @@
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
-    framing: Framing = Framing.LENGTH
+    framing: Framing
 
     def get(self, name: str) -> str:
         """Returns a header's value, or an empty string."""
@@ -192,6 +189,9 @@
     async def read_chunk(self) -> bytes:
         """Waits for a chunk of the body; returns empty bytes at the end of the body.
 
+        With ``Framing.CONNECTION`` that is also the end of a body that was broken off
+        without a reset.
+
         Raises:
             errors.BackendServerFailedError: The response is incomplete or malformed.
         """
@@ -292,7 +292,7 @@
     method: str, status: int, headers: tuple[tuple[str, str], ...]
 ) -> Framing:
     names = {name for name, _ in headers}
-    if method == "HEAD" or status in BODYLESS_STATUS_CODES:
+    if method == "HEAD" or status in closedelimited.BODYLESS_STATUS_CODES:
         return Framing.NO_BODY
     if "transfer-encoding" in names:
         return Framing.CHUNKS
