Add the sequence that most likely gave a pass two maps as a test

If that agent is the one of the rank that holds the pass, its order to arm is lost, its engine is read directly, and the late report is from before the hold. The code before the late reports were handled then sent the hold again for a later pass, the first pass began, and one rank had the old map.

--- a/tests/models/mapswitch.feature
+++ b/tests/models/mapswitch.feature
@@ -8,6 +8,13 @@
   Scenario: No pass begins with two maps although reports are late and polls interleave
     Then the map switch uses one map in each pass in random walks with late reports
 
+  # Guards against moving the hold from a pass for which other ranks are armed already.
+  Scenario: A late report of the holding rank does not move the hold while ranks are armed
+    Given a switch of which the holding rank's order to arm was lost with its agent
+    When the holding rank is read directly and its report is from before the hold
+    Then no pass begins with two maps and the switch ends with one map
+    But a switch that trusts the late report begins a pass with two maps
+
   Scenario Outline: Each safeguard of the map switch is needed
     Then the map switch <variant> begins a pass with two maps
 
--- a/tests/steps/mapswitch.py
+++ b/tests/steps/mapswitch.py
@@ -62,6 +62,78 @@
         check_ended(world)
 
 
+def arm_without_holder(switch_class):
+    """Arms rank 1; the order to arm rank 0, which holds the pass, is lost."""
+    world = latereports.LateWorld(switch_class, faults=1)
+    coordinator = world.coordinators[0]
+    # Three polls with orders to fence, to prepare and to hold, and one that plans.
+    for _ in range(4):
+        take_poll(world, ("read", "read"))
+        while coordinator.orders and coordinator.orders[-1][1] is None:
+            world.act(("step", "carry 0"))
+        if coordinator.orders:
+            world.act(("step", "finish 0"))
+    assert world.ranks[0].held != mapworld.NONE
+    take_poll(world, ("read", "read"))
+    assert [item.rank for item, _ in coordinator.orders] == [0, 1]
+    for action in ("lose_order 0", "carry 0", "finish 0"):
+        world.act(("step", action))
+    assert not world.ranks[0].armed and world.ranks[1].armed
+    return world
+
+
+def take_poll(world, ways):
+    for way in ways:
+        world.act(("step", f"{way} 0"))
+
+
+def read_holder_late(world):
+    """Polls once after the next pass, with a late report of the holder.
+
+    Then passes begin until one is held, or the one that ranks are armed for is over.
+    """
+    world.act(("step", "pass"))
+    take_poll(world, ("read_late", "read"))
+    orders = [item.order for item, _ in world.coordinators[0].orders]
+    while any(outcome is None for _, outcome in world.coordinators[0].orders):
+        world.act(("step", "carry 0"))
+    if orders:
+        world.act(("step", "finish 0"))
+    while not world.is_held() and world.step < 2 * mapswitch.HOLD_AHEAD_STEPS:
+        world.act(("step", "pass"))
+    return orders
+
+
+@behave.given(
+    "a switch of which the holding rank's order to arm was lost with its agent"
+)
+def make_lost_arm(context):
+    context.world = arm_without_holder(mapswitch.MapSwitch)
+
+
+@behave.when("the holding rank is read directly and its report is from before the hold")
+def read_late(context):
+    context.orders = read_holder_late(context.world)
+
+
+@behave.then("no pass begins with two maps and the switch ends with one map")
+def check_hold_kept(context):
+    assert context.orders == [], context.orders
+    world = context.world
+    assert world.is_held() and not world.problem, world.problem
+    world.finish_undisturbed()
+    check_ended(world)
+    assert len({rank.map for rank in world.ranks}) == 1
+
+
+@behave.then("a switch that trusts the late report begins a pass with two maps")
+def check_hold_moved(context):
+    world = arm_without_holder(latereports.TrustingSwitch)
+    orders = read_holder_late(world)
+    assert [order.kind for order in orders] == [mapworld.Kind.HOLD], orders
+    assert world.problem
+
+
 def act_at_random(world, source, actions_max):
     for _ in range(source.randrange(actions_max)):
         actions = world.list_actions()
