Send headers that are not ASCII on to backend servers

What callers saw: a request with a header in ISO 8859-1 (a name with an accent, say) got no answer at all; the caller waited until it gave up. With an agent's plain service an unusable Idempotency-Key failed alike.

Cause: the HTTP library decodes headers as ISO 8859-1, and the parser for backend servers encodes text as ASCII and raises an error of another kind than for an invalid header. Headers and the target are encoded as they were decoded now, and text that can't be is a bad request.

--- a/src/lycheegauge/internal/transport/engines.py
+++ b/src/lycheegauge/internal/transport/engines.py
@@ -226,7 +226,7 @@
                 error.message, "run", self.address, reached
             ) from error
         try:
-            connection.send(self._make_head(request), request.body)
+            self._send(connection, request)
             head = await connection.read_head()
             body = bytearray()
             while part := await connection.read_chunk():
@@ -238,7 +238,9 @@
         finally:
             connection.abort()
 
-    def _make_head(self, request: work.Request) -> upstream.RequestHead:
+    def _send(
+        self, connection: upstream.UpstreamConnection, request: work.Request
+    ) -> None:
         fields = [
             ("Host", self.address),
             ("Connection", "close"),
@@ -247,7 +249,13 @@
         ]
         if request.idempotency_key:
             fields.append(("Idempotency-Key", request.idempotency_key))
-        return upstream.RequestHead("POST", "/call", tuple(fields))
+        head = upstream.RequestHead("POST", "/call", tuple(fields))
+        try:
+            connection.send(head, request.body)
+        except errors.BorderError as error:
+            raise errors.BackendServerFailedError(
+                error.message, "run", self.address, reached=False
+            ) from error
 
 
 @register_engine("completions")
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -152,15 +152,21 @@
         """
         assert self._transport is not None
         try:
+            # Header text is ISO 8859-1, as it was decoded from the caller's bytes.
             sent = self._codec.send(
                 h11.Request(
-                    method=head.method, target=head.target, headers=list(head.headers)
+                    method=head.method,
+                    target=head.target.encode("latin-1"),
+                    headers=[
+                        (name.encode("latin-1"), text.encode("latin-1"))
+                        for name, text in head.headers
+                    ],
                 )
             )
             if body:
                 sent += self._codec.send(h11.Data(data=body)) or b""
             sent += self._codec.send(h11.EndOfMessage()) or b""
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise errors.BorderError(str(error), "send request") from error
         self._is_busy = True
         self._method = head.method
--- a/tests/failures/brokenanswers.feature
+++ b/tests/failures/brokenanswers.feature
@@ -48,6 +48,11 @@
     Then a stream that no server can continue ends with a reset of its connection
     And a whole stream ends with a regular close
 
+  # Guards against a caller that waits for an answer that nobody will send.
+  Scenario: Headers that are not ASCII reach the backend server and the caller
+    Given a caller and a backend server that send a header in ISO 8859-1
+    Then each gets the other's header, byte for byte
+
   # Guards against taking an answer that is no event stream for an incomplete event.
   Scenario Outline: An answer on a stream's route that is no event stream arrives whole
     Given a <repetition> route whose server answers with JSON
--- a/tests/steps/brokenanswers.py
+++ b/tests/steps/brokenanswers.py
@@ -5,6 +5,8 @@
 import behave
 from support import gatewayhost
 
+from lycheegauge.internal.transport import upstream
+
 EVENTS = tuple(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 7))
 PLAIN = b'{"slot": 7, "booked": true}'
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
@@ -236,11 +238,11 @@
         assert received.body == EVENTS[0] + rest, received
 
 
-async def call_servers(servers, repetition, attempts_max):
+async def call_servers(servers, repetition, attempts_max, headers=()):
     host = gatewayhost.GatewayHost(servers, repetition, attempts_max)
     await host.start()
     try:
-        return await gatewayhost.call(host.address)
+        return await gatewayhost.call(host.address, headers=headers)
     finally:
         await host.close()
 
@@ -262,6 +264,75 @@
     assert context.received.end == "framed"
 
 
+@behave.given("a caller and a backend server that send a header in ISO 8859-1")
+def send_latin_headers(context):
+    context.sent = "caf\u00e9"
+    head = STATUS_LINE + b"X-Name: " + context.sent.encode("latin-1") + b"\r\n"
+    reply = gatewayhost.Reply(head + b"Content-Length: 2\r\n\r\nok")
+    seen = []
+
+    def answer(fields, target):
+        seen.append(fields.get("x-name"))
+        return reply
+
+    server = gatewayhost.ScriptedServer(answer)
+    headers = (("X-Name", context.sent),)
+    context.received = asyncio.run(call_servers([server], "safe", 1, headers))
+    context.seen = seen
+
+
+@behave.then("each gets the other's header, byte for byte")
+def check_latin_headers(context):
+    assert context.seen == [context.sent], context.seen
+    assert context.received.headers["x-name"] == context.sent, context.received
+
+
+@behave.given("an entry host whose next request meets an unexpected error")
+def plan_unexpected_error(context):
+    context.error = RuntimeError("planned")
+
+
+@behave.then("its caller gets status 502 within {limit_s:d} second")
+def check_unexpected(context, limit_s):
+    received = asyncio.run(call_with_error(context.error, 0, limit_s))
+    assert received.status == 502 and received.end == "framed", received
+
+
+@behave.then(
+    "a caller who has part of a stream sees it broken off within {limit_s:d} second"
+)
+def check_unexpected_within(context, limit_s):
+    received = asyncio.run(call_with_error(context.error, 2, limit_s))
+    assert received.status == 200 and received.end == "broken", received
+
+
+async def call_with_error(error, after_events, limit_s):
+    """Calls a stream whose forwarding fails with ``error`` after some events."""
+    head = STATUS_LINE + STREAM_TYPE + b"Transfer-Encoding: chunked\r\n\r\n"
+    events = b"".join(EVENTS[:after_events])
+    chunk = b"%x\r\n%b\r\n" % (len(events), events) if events else b""
+    server = gatewayhost.ScriptedServer(
+        lambda fields, target: gatewayhost.Reply(head + chunk)
+    )
+    host = gatewayhost.GatewayHost([server], "resumable_stream", 1)
+    await host.start()
+    read_chunk = upstream.UpstreamConnection.read_chunk
+    reads = itertools.count()
+
+    async def read_or_fail(connection):
+        if next(reads) >= (1 if after_events else 0):
+            raise error
+        return await read_chunk(connection)
+
+    upstream.UpstreamConnection.read_chunk = read_or_fail
+    try:
+        async with asyncio.timeout(limit_s):
+            return await gatewayhost.call(host.address)
+    finally:
+        upstream.UpstreamConnection.read_chunk = read_chunk
+        await host.close()
+
+
 @behave.given("a caller that speaks HTTP/1.0")
 def make_old_caller(context):
     context.version = "HTTP/1.0"
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -164,7 +164,7 @@
     reader, writer = await asyncio.open_connection(host, int(port))
     fields = "".join(f"{name}: {text}\r\n" for name, text in headers)
     request = f"GET {path} {version}\r\nHost: {HOST}\r\n{fields}\r\n"
-    writer.write(request.encode())
+    writer.write(request.encode("latin-1"))
     try:
         async with asyncio.timeout(CALLER_TIMEOUT_S):
             return await read_response(reader)
