End a request at once if its forwarding fails unexpectedly

It now gets 502, or 503 if nothing was sent to a backend server, or the broken end of a response that has begun. The error is logged as before.

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -88,6 +88,11 @@
             self._record.write_cancelled(self._name_route())
             self._exchange.abort()
             raise
+        except Exception as error:
+            # The caller would otherwise wait until it gives up.
+            detail = f"unexpected error: {type(error).__name__}"
+            self._end(self._give_up(work.RefusalReason.OUTCOME_UNKNOWN, detail))
+            raise
 
     async def _run(self) -> None:
         refusal = await self._admit_or_wait()
--- a/tests/failures/brokenanswers.feature
+++ b/tests/failures/brokenanswers.feature
@@ -53,6 +53,11 @@
     Given a caller and a backend server that send a header in ISO 8859-1
     Then each gets the other's header, byte for byte
 
+  Scenario: A request whose forwarding fails unexpectedly is ended at once
+    Given an entry host whose next request meets an unexpected error
+    Then its caller gets status 502 within 1 second
+    And a caller who has part of a stream sees it broken off within 1 second
+
   # Guards against taking an answer that is no event stream for an incomplete event.
   Scenario Outline: An answer on a stream's route that is no event stream arrives whole
     Given a <repetition> route whose server answers with JSON
