--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -22,6 +22,7 @@
 EVENTS = 20
 EVENT_INTERVAL_S = 0.02
 RESTART_DELAY_S = 0.5
+WRITE_DELAY_S = 0.05
 
 
 class BackendServer:
@@ -38,6 +39,9 @@
         self.fails_on_resume = False
         self.is_unframed = False
         self.crashes = 0
+        self.crashed_at = []
+        self.crashing_part = ""
+        self.arrivals = []
         self.is_unresponsive = False
         self.writers = []
         self.leaving = False
@@ -98,6 +102,7 @@
     def crash(self):
         """Closes everything like a crashed process; restarts later at its address."""
         self.crashes += 1
+        self.crashed_at.append(time.monotonic())
         self.server.close()
         for open_writer in self.writers:
             open_writer.transport.abort()
@@ -129,6 +134,7 @@
         self.leaked_keys += "authorization" in fields
         request_id = fields["lycheegauge-request-id"]
         expected = fields["lycheegauge-expected-server"]
+        self.arrivals.append((time.monotonic(), request_id))
         if self.refuses or expected != self.name:
             writer.write(
                 b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\n"
@@ -141,6 +147,13 @@
         if target.endswith("/poison"):
             self.crash()
             return
+        if self.crashing_part:
+            # The part crashes the server when it begins to write the answer.
+            await asyncio.sleep(WRITE_DELAY_S)
+            parts = fields.get("lycheegauge-prompt-parts", "")
+            if f"{self.crashing_part}:" in parts and not writer.is_closing():
+                self.crash()
+                return
         if self.fails_on_resume and "last-event-id" in fields:
             writer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\nsorry")
             return
@@ -183,7 +196,8 @@
     The first three log hosts are the seeds.
     """
 
-    def __init__(self, gateways=2, log_hosts=3, tolerated_host_losses=1):
+    def __init__(self, gateways=2, log_hosts=3, tolerated_host_losses=1, repeats=None):
+        self.repeats = repeats
         self.tolerated_host_losses = tolerated_host_losses
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="lycheegauge-test-"))
         self.processes = {}
@@ -236,9 +250,15 @@
             "directory_address": f"{host}:{self.directory_port}",
             "peer_address": f"{host}:{self.peer_port}", "roster": self.make_roster(),
         }  # fmt: skip
+        if self.repeats is not None:
+            part["repeats"] = self.repeats
         path = self.write_settings(name, {"gateway": part})
         return self.start_process(name, "gateway", "--settings", path)
 
+    def ready_address(self, gateway):
+        host = self.gateways[gateway].split(":")[0]
+        return f"{host}:{self.ready_port}"
+
     def start_server(self, name, zone):
         server = BackendServer(name, zone, self.control_hosts)
         server.start()
