--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -144,16 +144,9 @@
         self.record_run(request_id, target, fields)
         if self.is_unresponsive:
             return
-        if target.endswith("/poison"):
+        if await self.crashes_on(target, fields, writer):
             self.crash()
             return
-        if self.crashing_part:
-            # The part crashes the server when it begins to write the answer.
-            await asyncio.sleep(WRITE_DELAY_S)
-            parts = fields.get("lycheegauge-prompt-parts", "")
-            if f"{self.crashing_part}:" in parts and not writer.is_closing():
-                self.crash()
-                return
         if self.fails_on_resume and "last-event-id" in fields:
             writer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\nsorry")
             return
@@ -181,6 +174,16 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         writer.write(b"0\r\n\r\n")
 
+    async def crashes_on(self, target, fields, writer):
+        """Returns whether beginning to write this answer crashes the server."""
+        if target.endswith("/poison"):
+            return True
+        if not self.crashing_part:
+            return False
+        await asyncio.sleep(WRITE_DELAY_S)
+        parts = fields.get("lycheegauge-prompt-parts", "")
+        return f"{self.crashing_part}:" in parts and not writer.is_closing()
+
     async def answer_unframed(self, writer):
         """Sends a stream with neither a length nor chunks, then closes."""
         writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
