--- /dev/null
+++ b/tests/failures/endlessbytes.feature
@@ -0,0 +1,35 @@
+Feature: Bytes of a backend server that never end
+
+  # Guards against reading the body of a refusal for as long as its server sends it.
+  Scenario Outline: A refusal with an endless body is passed on at once (<framing>)
+    Given a server that refuses a request and then sends <framing> without end
+    Then its caller is refused within 1 second
+    And the entry host took in less than 8 MB
+
+    Examples:
+      | framing         |
+      | a stated length |
+      | chunks          |
+      | neither         |
+
+  # Guards against waiting for an answer behind informational responses without end.
+  Scenario: Endless informational responses end the attempt at once
+    Given a server that sends informational responses without end
+    Then its request ends with status 502 within 1 second
+    And the entry host took in less than 8 MB
+
+  # Guards against buffering an event that is never completed.
+  Scenario Outline: A stream with an endless event is broken off (<repetition>)
+    Given a <repetition> route whose server sends an event without end
+    Then its caller gets no complete answer within 1 second
+    And the entry host took in less than 8 MB
+
+    Examples:
+      | repetition       |
+      | stream           |
+      | resumable_stream |
+
+  # Guards against an engine's report without end in the memory of its agent.
+  Scenario: An engine's report without end is refused
+    Given an engine whose report has no end
+    Then its client reports a failure having read less than 8 MB
