--- /dev/null
+++ b/tests/steps/crashingparts.py
@@ -0,0 +1,113 @@
+import concurrent.futures
+import itertools
+import random
+import time
+
+import behave
+from support import forwardingfleet
+
+CONTACT_S = 3.0
+"""Time within which hosts in contact with the log act on what others know."""
+
+CRASHES_UNTIL_KNOWN = 5
+REQUESTS_MAX_AFTER = 3
+SOUND_PER_S, CRASHING_PER_S = 13.0, 4.0
+SOUND_S, MIXED_S = 4.0, 14.0
+PARTS_HEADER = "Lycheegauge-Prompt-Parts"
+
+
+@behave.given("a forwarding deployment of three gateways and nine servers")
+def start_fleet(context):
+    context.fleet = fleet = forwardingfleet.Fleet(gateways=3)
+    context.closers.append(fleet.close)
+    fleet.start(servers=9)
+    fleet.put_table(1)
+    fleet.wait_until_served()
+
+
+class Load:
+    """Sends requests from a pool of threads and keeps when and with what result."""
+
+    def __init__(self, fleet, pool, seed):
+        self.fleet, self.pool = fleet, pool
+        self.source = random.Random(seed)
+        self.numbers = itertools.count()
+        self.results = {}
+
+    def send(self, middle):
+        number = next(self.numbers)
+        kind = "c" if middle == "bad" else "s"
+        name, gateway = f"{kind}{number}", self.source.randrange(3)
+        parts = f"shared:40,{middle}:200,own{number}:300"
+        sent_at = time.monotonic()
+
+        def ask():
+            answer = self.fleet.request(
+                "/safe/x", name, gateway=gateway, **{PARTS_HEADER: parts}
+            )
+            self.results[name] = (sent_at, answer.status)
+
+        self.pool.submit(ask)
+
+    def run(self, duration_s, per_s, crashing_per_s):
+        until = time.monotonic() + duration_s
+        rate = per_s + crashing_per_s
+        while time.monotonic() < until:
+            time.sleep(self.source.expovariate(rate))
+            is_crashing = self.source.random() < crashing_per_s / rate
+            self.send("bad" if is_crashing else f"topic{self.source.randrange(20)}")
+
+
+@behave.when("requests with a crashing part arrive among sound ones of the same caller")
+def send_mixed(context):
+    fleet = context.fleet
+    for server in fleet.servers:
+        server.crashing_part = "bad"
+    with concurrent.futures.ThreadPoolExecutor(64) as pool:
+        context.load = load = Load(fleet, pool, seed=1)
+        load.run(SOUND_S, SOUND_PER_S, 0.0)
+        context.mixed_from = time.monotonic()
+        load.run(MIXED_S, SOUND_PER_S, CRASHING_PER_S)
+
+
+def find_last_counted_crash(fleet):
+    crashes = sorted(at for server in fleet.servers for at in server.crashed_at)
+    assert crashes, "no server crashed"
+    return crashes[min(len(crashes), CRASHES_UNTIL_KNOWN) - 1]
+
+
+@behave.then("few requests with that part reach a server once it has crashed five")
+def check_stopped(context):
+    fleet = context.fleet
+    known_at = find_last_counted_crash(fleet) + CONTACT_S
+    late = [
+        name
+        for server in fleet.servers
+        for at, name in server.arrivals
+        if name.startswith("c") and at > known_at
+    ]
+    crashes = sum(server.crashes for server in fleet.servers)
+    assert len(late) <= REQUESTS_MAX_AFTER, (len(late), crashes)
+
+
+def measure_first_attempts(context, since, until):
+    """Returns the share of sound requests that the first server answered."""
+    arrivals = [name for server in context.fleet.servers for _, name in server.arrivals]
+    sent = [
+        (name, status)
+        for name, (at, status) in context.load.results.items()
+        if name.startswith("s") and since <= at < until
+    ]
+    assert len(sent) >= 20, len(sent)
+    served = [n for n, status in sent if status == 200 and arrivals.count(n) == 1]
+    return len(served) / len(sent)
+
+
+@behave.then(
+    "sound requests with the same first part are served at the first attempt as before"
+)
+def check_sound(context):
+    before = measure_first_attempts(context, 0.0, context.mixed_from)
+    since = find_last_counted_crash(context.fleet) + 2 * CONTACT_S
+    after = measure_first_attempts(context, since, float("inf"))
+    assert after >= before / 2, (before, after)
