--- a/src/lycheegauge/internal/coordination/coldratelimit.py
+++ b/src/lycheegauge/internal/coordination/coldratelimit.py
@@ -13,21 +13,21 @@
 
 
 class ColdRateLimiter:
-    """Token buckets for one entry host's equal share of each cold server's rate."""
+    """Token buckets for one entry host's share of each cold server's rate."""
 
     def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
 
-    def may_take(self, server: str, rate: float, hosts: int, now: float) -> bool:
+    def may_take(self, server: str, rate: float, fraction: float, now: float) -> bool:
         """Returns whether a token is available; ``take`` consumes it.
 
         Args:
             server: The cold server's name.
             rate: Requests per second allowed from all entry hosts together.
-            hosts: Number of entry hosts that share the rate.
+            fraction: This host's fraction of the rate.
             now: Current time in seconds.
         """
-        return self._refill(server, rate / max(1, hosts), now).tokens >= 1.0
+        return fraction > 0 and self._refill(server, rate * fraction, now).tokens >= 1.0
 
     def take(self, server: str) -> None:
         """Consumes a token for a request sent to a cold server."""
--- a/src/lycheegauge/internal/coordination/repeatbudget.py
+++ b/src/lycheegauge/internal/coordination/repeatbudget.py
@@ -1,15 +1,24 @@
 """Retry budget that limits repeated sends across all entry hosts.
 
-The budget limits all sends beyond the first of each request within a sliding window
-to a fraction of the requests plus a fixed slack. Each host enforces the fraction on
-its own requests; the fixed slack is divided equally among the hosts.
+In any window, all hosts together repeat at most a fraction of the requests plus a
+fixed slack. A host earns the fraction with its own requests, and may carry over some
+of it. Of the slack it uses the smallest share that it held in the whole window: what
+others may use was never part of that, even if hosts restart, join or leave meanwhile.
 """
 
 import collections
 
-SLACK_FRACTION = 0.8
-"""Fraction of the slack that is handed out, since hosts may briefly have a wrong
-count of the other hosts."""
+from lycheegauge.internal.coordination import hostshares
+
+SLACK_FRACTION = 0.65
+"""Fraction of the slack that the hosts may use in each window."""
+
+CARRIED_FRACTION = 0.3
+"""Fraction of the slack that bounds the earned retries that are carried over. The rest
+of the slack is a reserve for retries that reach their server late."""
+
+TRANSIT_S = 1.0
+"""Time that a retry may take to its server, in seconds; added to the window."""
 
 
 class RepeatBudget:
@@ -19,34 +28,63 @@
         ratio: Repeats allowed per request in the window.
         slack: Additional repeats allowed, over all hosts.
         window_s: Length of the window in seconds.
+        share: This host's fraction of the slack.
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        share: hostshares.HostShareHolder,
+    ) -> None:
         self._ratio = ratio
         self._slack = slack
-        self._window_s = window_s
-        self._requests: collections.deque[float] = collections.deque()
-        self._repeats: collections.deque[float] = collections.deque()
+        self._window_s = window_s + TRANSIT_S
+        self._share = share
+        self._earned = 0.0
+        self._earned_at = 0.0
+        self._slack_uses: collections.deque[tuple[float, float]] = collections.deque()
 
     def note_request(self, now: float) -> None:
-        """Counts a request, which raises the number of allowed repeats."""
-        self._requests.append(now)
-        self._discard_old(now)
+        """Counts a request, which earns a fraction of a repeat."""
+        self._earned += self._ratio
+        self._limit_earned(now)
 
-    def has_left(self, hosts: int, now: float) -> bool:
-        """Returns whether this host, one of ``hosts``, may send a repeat."""
-        self._discard_old(now)
-        slack = self._slack * SLACK_FRACTION / max(1, hosts)
-        return len(self._repeats) + 1 <= self._ratio * len(self._requests) + slack
+    def has_left(self, now: float) -> bool:
+        """Returns whether this host may send a repeat."""
+        self._limit_earned(now)
+        return self._earned + self._count_slack_left(now) >= 1.0
 
-    def spend(self, hosts: int, now: float) -> bool:
+    def spend(self, now: float) -> bool:
         """Counts a repeat if the budget allows it; returns whether it does."""
-        if not self.has_left(hosts, now):
+        if not self.has_left(now):
             return False
-        self._repeats.append(now)
+        from_earned = min(1.0, self._earned)
+        self._earned -= from_earned
+        if from_earned < 1.0:
+            self._slack_uses.append((now, 1.0 - from_earned))
         return True
 
-    def _discard_old(self, now: float) -> None:
-        for times in (self._requests, self._repeats):
-            while times and times[0] <= now - self._window_s:
-                times.popleft()
+    def describe(self, now: float) -> str:
+        """Describes what is left, for the log."""
+        slack_left = self._count_slack_left(now)
+        fraction = self._share.get_fraction(now)
+        return (
+            f"earned retries {self._earned:.2f}, slack left {slack_left:.2f}, "
+            f"fraction of the slack {fraction:.3f}"
+        )
+
+    def _limit_earned(self, now: float) -> None:
+        fraction = self._share.get_lowest_fraction(self._earned_at, now)
+        self._earned_at = now
+        carried_max = self._slack * CARRIED_FRACTION * fraction
+        self._earned = min(self._earned, carried_max)
+
+    def _count_slack_left(self, now: float) -> float:
+        since = now - self._window_s
+        while self._slack_uses and self._slack_uses[0][0] <= since:
+            self._slack_uses.popleft()
+        fraction = self._share.get_lowest_fraction(since, now)
+        used = sum(amount for _, amount in self._slack_uses)
+        return self._slack * SLACK_FRACTION * fraction - used
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -13,6 +13,7 @@
     eventstream,
     forwardrules,
     headers,
+    repeatbudget,
     routeindex,
 )
 from lycheegauge.internal.daemons import requestrecord
@@ -142,7 +143,7 @@
         self._set_deadline(self._route)
         if not shared.has_server(self._service):
             return shared.refuse(work.RefusalReason.NO_BACKEND_SERVER)
-        shared.get_retry_budget(self._service).note_request(clock.read_clock())
+        shared.note_request(self._service)
         return None
 
     def _check_key(self, index: routeindex.RouteIndex) -> forwardrules.GivenUp | None:
@@ -192,7 +193,8 @@
                 if refusal is not None:
                     return refusal
             elif not self._spend_retry_budget():
-                return self._give_up(work.RefusalReason.RETRY_BUDGET_SPENT)
+                detail = self._budget.describe(clock.read_clock())
+                return self._give_up(work.RefusalReason.RETRY_BUDGET_SPENT, detail)
             try:
                 connection = await self._shared.pool.acquire(
                     chosen.incarnation, chosen.address
@@ -219,9 +221,16 @@
             return work.RetryReason.STREAM_BROKEN
         return work.RetryReason.BACKEND_SERVER_ERROR
 
+    @property
+    def _budget(self) -> repeatbudget.RepeatBudget:
+        return self._shared.get_retry_budget(self._service)
+
     def _spend_retry_budget(self) -> bool:
-        budget = self._shared.get_retry_budget(self._service)
-        return budget.spend(self._shared.host_count, clock.read_clock())
+        now = clock.read_clock()
+        is_allowed = self._budget.spend(now)
+        if is_allowed:
+            self._record.write_retry_allowed(self._service, self._budget.describe(now))
+        return is_allowed
 
     def _can_try_another_server(self, given_up: forwardrules.GivenUp) -> bool:
         """Tells whether another server may be tried after a failed attempt."""
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -16,6 +16,7 @@
     crashdetector,
     crashes,
     forwardrules,
+    hostshares,
     progress,
     repeatbudget,
     requestoutcomes,
@@ -95,6 +96,9 @@
         self.random_source = random.Random()
         self.choice = serverchoice.ServerChoice(self.random_source)
         self.cold_limiter = coldratelimit.ColdRateLimiter()
+        self.share = hostshares.HostShareHolder(
+            part.repeats.window_s + repeatbudget.TRANSIT_S
+        )
         self.progress = progress.ServerProgress()
         self.crashdetector = crashdetector.CrashDetector()
         self.outcomes = requestoutcomes.RequestOutcomes()
@@ -243,20 +247,21 @@
         """The version of the route table in force; 0 for none."""
         return self.index.table.version if self.index else 0
 
-    @property
-    def host_count(self) -> int:
-        """Number of entry hosts that share the limits that apply to all of them."""
-        return max(1, len(self.view.hosts))
-
     def get_retry_budget(self, service: str) -> repeatbudget.RepeatBudget:
         """Returns this host's share of a service's retry budget."""
         repeats = self.part.repeats
         if service not in self._budgets:
             self._budgets[service] = repeatbudget.RepeatBudget(
-                repeats.ratio, repeats.slack, repeats.window_s
+                repeats.ratio, repeats.slack, repeats.window_s, self.share
             )
         return self._budgets[service]
 
+    def note_request(self, service: str) -> None:
+        """Counts a request for a service, which earns retries and raises the demand."""
+        now = clock.read_clock()
+        self.share.note_request(now)
+        self.get_retry_budget(service).note_request(now)
+
     def get_forecast(self, service: str) -> waitforecast.WaitForecast:
         """Returns the forecast of a service's waiting times."""
         return self._forecasts.setdefault(service, waitforecast.WaitForecast())
@@ -289,7 +294,8 @@
         """Tells whether this host may use another of a server's connections."""
         if not connections_max or self.pool.has_idle(server.incarnation):
             return True
-        share = int(connections_max * CONNECTIONS_FRACTION / self.host_count)
+        fraction = self.share.get_fraction(clock.read_clock())
+        share = int(connections_max * CONNECTIONS_FRACTION * fraction)
         return self.pool.count_open(server.incarnation) < max(1, share)
 
     def has_server(self, service: str) -> bool:
@@ -358,7 +364,7 @@
                 return False
             return self.progress.is_lagging(
                 server.service, server.name, sent_at, now
-            ) and budget.has_left(self.host_count, now)
+            ) and budget.has_left(now)
 
         late_after_s = progress.SILENCE_TARGET_MULTIPLE * route.target_first_s
         return silencewatch.SilenceWatch(connection, late_after_s, is_lost)
@@ -407,8 +413,10 @@
     ) -> bool:
         if not self._is_cold(server, declared, now):
             return True
-        rate = declared.cold_rate
-        return self.cold_limiter.may_take(server.name, rate, self.host_count, now)
+        fraction = self.share.get_fraction(now)
+        return self.cold_limiter.may_take(
+            server.name, declared.cold_rate, fraction, now
+        )
 
     async def close(self) -> None:
         """Cancels all requests and closes all connections."""
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -85,6 +85,7 @@
         self.caller_address = part.caller_address
         self._tasks: list[asyncio.Task[None]] = []
         self._has_leader_contact = False
+        self._has_share = False
         self._pull_interval_s = part.roster.pull_interval_s
 
     def _register_gauges(self) -> None:
@@ -106,8 +107,13 @@
         )
         self.metrics.register_gauge(
             "lycheegauge_entry_hosts",
-            "Entry hosts that share what is limited over all",
-            lambda: self.forwarder.host_count,
+            "Entry hosts that are listed as running",
+            lambda: len(self.view.hosts),
+        )
+        self.metrics.register_gauge(
+            "lycheegauge_limits_fraction",
+            "Fraction of each limit of all entry hosts that this host may use",
+            lambda: self.forwarder.share.get_fraction(clock.read_clock()),
         )
 
     @property
@@ -219,6 +225,7 @@
         message = dataclasses.replace(
             self.forwarder.crashdetector.attach_reports(pull.message),
             gaps=self.forwarder.pop_gaps(),
+            demand=self.forwarder.share.make_demand(clock.read_clock()),
         )
         try:
             reply = await self._client.pull(message)
@@ -231,6 +238,8 @@
             own_interval_s = self.part.roster.pull_interval_s
             self._pull_interval_s = reply.pull_interval_s or own_interval_s
             self.forwarder.crashdetector.apply_reply(message, reply, now)
+            self.forwarder.share.apply_share(reply.share, now)
+            self._log_share()
         self.forwarder.apply_changes(changed)
         if reply.proof is not None:
             others = [name for name in self.view.hosts if name != self.part.name]
@@ -244,6 +253,17 @@
         )
         return is_from_leader
 
+    def _log_share(self) -> None:
+        fraction = self.forwarder.share.get_fraction(clock.read_clock())
+        if (fraction > 0.0) == self._has_share:
+            return
+        self._has_share = fraction > 0.0
+        loguru.logger.info(
+            "share of the limits of all entry hosts",
+            fraction=round(fraction, 4),
+            window_s=self.part.repeats.window_s,
+        )
+
     def _update_leader_contact(self, has_contact: bool, peer: str, detail: str) -> None:
         if has_contact == self._has_leader_contact:
             return
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -65,6 +65,10 @@
             )
         )
 
+    def write_retry_allowed(self, service: str, budget: str) -> None:
+        """Logs that the retry budget allowed another attempt, and what is left."""
+        events.write_event(events.RetryAllowed(self._request_id, service, budget))
+
     def write_failed(
         self,
         server: roster.ServerListing,
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -16,6 +16,7 @@
     members,
     rosterregistry,
     rosterview,
+    sharegrants,
 )
 from lycheegauge.internal.coordination.agreement import quorum, timing
 from lycheegauge.internal.daemons import (
@@ -70,6 +71,8 @@
 REOPEN_DELAY_S = 1.0
 """Seconds between attempts of a replica whose disk failed to reopen its journal."""
 RELAY_TIMEOUT_S = 2.0
+FIRST_TERM = 1
+"""Term of the first leader that a log can have."""
 GAP_AGE_MAX_PULLS = 2.0
 """Age up to which reported pauses count as current, in pull intervals."""
 
@@ -102,6 +105,7 @@
         )
         self._registry = rosterregistry.RosterRegistry("", self._lifetimes)
         self._registry_term = 0
+        self._shares = sharegrants.ShareGranter(part.roster.lease_s, 0.0)
         self._incarnation = clock.create_incarnation(members.format_incarnation)
         self._appointments = mapappointments.MapAppointments(0, self.address, 0.0)
         self._appointment: roster.MapAppointment | None = None
@@ -203,6 +207,9 @@
             self._appointments = mapappointments.MapAppointments(
                 self.task.term, self.address, now
             )
+            self._shares = sharegrants.ShareGranter(
+                self.part.roster.lease_s, now, is_first=self.task.term == FIRST_TERM
+            )
             loguru.logger.info(
                 "became the log's leader",
                 term=self.task.term,
@@ -271,6 +278,23 @@
             reply,
             has_recorded=has_recorded,
             appointment=self._make_appointment(request, now),
+            share=self._grant_share(request, proof),
+        )
+
+    def _grant_share(
+        self, request: roster.RosterPull, proof: freshness.Proof
+    ) -> roster.HostShare | None:
+        """Grants an entry host its fraction of the limits of all hosts."""
+        if request.host is None or request.demand is None:
+            return None
+        # Begins the grants of a new term, if there is one.
+        registry = self.get_registry()
+        return self._shares.grant(
+            request.host.incarnation,
+            request.demand,
+            request.source == registry.source,
+            proof.age_s,
+            clock.read_clock(),
         )
 
     def _make_appointment(
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -53,6 +53,19 @@
     resumed_after: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAllowed(Event):
+    """The retry budget of all entry hosts allowed another attempt.
+
+    Attributes:
+        service: The service whose budget was charged.
+        budget: What is left of this host's part of it.
+    """
+
+    service: str
+    budget: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptFailed(Event):
     """A server did not answer the request completely.
@@ -142,7 +155,7 @@
     waited_ms: int
 
 
-ROUTINE_EVENTS = (RequestSent, RequestAnswered)
+ROUTINE_EVENTS = (RequestSent, RequestAnswered, RetryAllowed)
 """Events of requests that succeed; the log drops these first when it is overloaded."""
 
 
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -103,6 +103,42 @@
     open_requests: tuple[OpenRequests, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostDemand:
+    """An entry host's demand for its fraction of the limits of all hosts together.
+
+    Attributes:
+        sequence: Increases with each demand of an incarnation.
+        weight: Its requests per second, by which its fraction is weighed.
+        held_sequence: The demand whose answer is in use.
+        held_fraction: The fraction in use; 0 if its lease has expired.
+        window_s: The longest time window of its limits, in seconds.
+    """
+
+    sequence: int
+    weight: float
+    held_sequence: int
+    held_fraction: float
+    window_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostShare:
+    """The fraction of every limit of all hosts together that one host may use.
+
+    Attributes:
+        sequence: The demand that this answers.
+        fraction: The fraction, from 0 to 1.
+        lease_s: How long it is valid, in seconds from when the demand was sent.
+        unused_fraction: The part of an increase that no host held within the window.
+    """
+
+    sequence: int
+    fraction: float
+    lease_s: float
+    unused_fraction: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RosterPull:
     """A host's request for updates; ``host`` is ``None`` for log hosts.
@@ -111,7 +147,8 @@
     request. ``crashes`` and ``cleared`` are resent until the log has stored them.
     ``log_host`` is the address of a log host that pulls, ``log_host_incarnation`` names
     its process start, and ``silent_servers`` are those that it can't reach while it
-    coordinates the expert maps.
+    coordinates the expert maps. ``demand`` is that of an entry host for its share of
+    the limits of all hosts.
     """
 
     host: HostListing | None
@@ -127,6 +164,7 @@
     log_host: str = ""
     silent_servers: tuple[str, ...] = ()
     log_host_incarnation: str = ""
+    demand: HostDemand | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,7 +187,8 @@
     ``open_elsewhere`` are the open requests of all other hosts. ``has_recorded``
     means that the log has stored the crashes and clearances of the request.
     ``pull_interval_s`` is how long to wait until the next pull; 0 leaves it to the
-    requester. ``appointment`` is set for the log host that coordinates the expert maps.
+    requester. ``appointment`` is set for the log host that coordinates the expert maps,
+    ``share`` for entry hosts that sent a demand.
     """
 
     proof: freshness.Proof | None
@@ -169,6 +208,7 @@
     has_recorded: bool = False
     pull_interval_s: float = 0.0
     appointment: MapAppointment | None = None
+    share: HostShare | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/steps/forwarding.py
+++ b/tests/steps/forwarding.py
@@ -8,7 +8,7 @@
 import behave
 import hypothesis
 from hypothesis import strategies
-from support import processes
+from support import hostshares, processes
 
 from lycheegauge.internal.coordination import (
     coldratelimit,
@@ -19,7 +19,6 @@
     headers,
     loadnews,
     progress,
-    repeatbudget,
     rosterregistry,
     routeindex,
     serverchoice,
@@ -96,15 +95,23 @@
 def check_budget(context):
     ratio, slack, window = 0.2, 94.0, 10.0
     source = random.Random(3)
-    budgets = [repeatbudget.RepeatBudget(ratio, slack, window) for _ in range(HOSTS)]
-    requests, repeats, now = [], [], 0.0
+    world = hostshares.World(HOSTS, window_s=window)
+    world.now = -2 * window
+    world.be_calm(2 * window, interval_s=0.3)
+    for host in world.hosts:
+        host.use_budget(ratio, slack, window)
+    requests, repeats, now, pulled_at = [], [], 0.0, 0.0
     while now < 60.0:
         now += source.expovariate(80.0)
-        host = source.randrange(HOSTS)
-        budgets[host].note_request(now)
+        if now - pulled_at > 0.3:
+            world.now = pulled_at = now
+            world.exchange()
+        host = source.choice(world.hosts)
+        host.holder.note_request(now)
+        host.budget.note_request(now)
         requests.append(now)
         for _ in range(4):  # every request fails and is retried up to four times
-            if budgets[host].spend(HOSTS, now):
+            if host.budget.spend(now):
                 repeats.append(now)
     for end in range(10, 60):
         inside = [time for time in repeats if end - window < time <= end]
@@ -122,7 +129,7 @@
     while now < 5.0:
         now += source.expovariate(2000.0)
         ramp = ramps[source.randrange(HOSTS)]
-        if ramp.may_take("cold", rate, HOSTS, now):
+        if ramp.may_take("cold", rate, 1 / HOSTS, now):
             ramp.take("cold")
             taken.append(now)
     for start in taken:
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -337,6 +337,13 @@
                 ),
                 f"gateway {number + 1} serves",
             )
+            # Without it, a gateway retries only what its own requests have earned.
+            processes.wait_until(
+                lambda number=number: (
+                    "share of the limits" in self.read_log(f"gateway-{number + 1}")
+                ),
+                f"gateway {number + 1} has its share of the retry budget",
+            )
 
     def count_runs(self, request_id):
         return sum(server.runs[request_id] for server in self.servers)
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -129,6 +129,9 @@
             source="leader", whole=True, servers=tuple(listings),
         )  # fmt: skip
         self.forwarder.apply_changes(self._view.apply_reply(pull, reply, now))
+        demand = self.forwarder.share.make_demand(now)
+        whole = roster.HostShare(demand.sequence, 1.0, LEASE_S, unused_fraction=1.0)
+        self.forwarder.share.apply_share(whole, now)
         self.address = await self._listener.start()
 
     async def close(self):
