--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -34,6 +34,11 @@
 attempts of the route, since a refused request is not run, but each further try still
 spends the retry budget."""
 
+DISCARD_MAX_BYTES = 65_536
+DISCARD_TIMEOUT_S = 0.05
+"""How much of a body that is not forwarded is read, so that its connection can be
+reused. A server may send it for as long as the connection is open."""
+
 CONNECT_ATTEMPTS_MAX = 3
 START_WAIT_MAX_S = 1.8
 """Maximum wait of a request for a host that is starting, in seconds. A host that
@@ -379,9 +384,20 @@
         )
 
     async def _discard_body(self, connection: upstream.UpstreamConnection) -> bool:
-        """Reads and discards the rest of a response that is not forwarded."""
-        while await connection.read_chunk():
-            pass
+        """Reads and discards a small rest of a response that is not forwarded.
+
+        Returns:
+            Whether the response has ended, so that its connection can be reused.
+        """
+        discarded_bytes = 0
+        try:
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while part := await connection.read_chunk():
+                    discarded_bytes += len(part)
+                    if discarded_bytes > DISCARD_MAX_BYTES:
+                        return False
+        except (TimeoutError, errors.BackendServerFailedError):
+            return False
         return True
 
     def _record_failure(self, server: roster.ServerListing, detail: str) -> None:
--- a/tests/steps/endlessbytes.py
+++ b/tests/steps/endlessbytes.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 import time
 
 import behave
@@ -36,6 +37,9 @@
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        # Otherwise megabytes that the other side never reads would be buffered here.
+        for listener in self._server.sockets:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, len(PART))
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     async def close(self):
