--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -41,6 +41,9 @@
 MAX_UNREAD_BYTES = 262_144
 """With more unread bytes of a response than this, reading from the server pauses."""
 
+INFORMATIONAL_RESPONSES_MAX = 8
+"""Informational responses (status 1xx) accepted before the response to a request."""
+
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
 
@@ -94,6 +97,7 @@
         self._transport: asyncio.Transport | None = None
         self._events: collections.deque[typing.Any] = collections.deque()
         self._unread_bytes = 0
+        self._informational_responses = 0
         self._waiter: asyncio.Future[None] | None = None
         self._failure = ""
         self._is_busy = False
@@ -169,6 +173,7 @@
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise errors.BorderError(str(error), "send request") from error
         self._is_busy = True
+        self._informational_responses = 0
         self._method = head.method
         self.request_count += 1
         self._transport.write(sent)
@@ -179,10 +184,7 @@
         Raises:
             errors.BackendServerFailedError: The response is incomplete or malformed.
         """
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Response):
-                break
+        event = await self._next_event()
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
@@ -262,6 +264,15 @@
                     break
                 if isinstance(event, h11.ConnectionClosed):
                     break
+                if isinstance(event, h11.InformationalResponse):
+                    self._informational_responses += 1
+                    if self._informational_responses > INFORMATIONAL_RESPONSES_MAX:
+                        self._fail(
+                            f"more than {INFORMATIONAL_RESPONSES_MAX} "
+                            "informational responses"
+                        )
+                        return
+                    continue
                 self._events.append(event)
                 if isinstance(event, h11.Data):
                     self._unread_bytes += len(event.data)
