--- a/src/lycheegauge/internal/coordination/eventstream.py
+++ b/src/lycheegauge/internal/coordination/eventstream.py
@@ -7,6 +7,9 @@
 
 import re
 
+EVENT_MAX_BYTES = 1_048_576
+"""Size limit of one event; a server may send one that never ends."""
+
 EVENT_END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
 ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
@@ -30,6 +33,11 @@
         """Number of buffered bytes of an incomplete event."""
         return len(self._buffer)
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the incomplete event is over the size limit."""
+        return len(self._buffer) > EVENT_MAX_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns all events that are now complete."""
         joined = self._buffer + data
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -444,6 +444,7 @@
         splitter = eventstream.EventSplitter()
         while part := await connection.read_chunk():
             splitter.feed(part)
+            _check_event_size(splitter)
             if not self._exchange.is_started:
                 self._start(head)
             await self._write(part)
@@ -463,6 +464,7 @@
         splitter.begin_attempt()
         while part := await connection.read_chunk():
             events = splitter.feed(part)
+            _check_event_size(splitter)
             if not events:
                 continue
             if not self._exchange.is_started:
@@ -559,3 +561,15 @@
         index, host = self._shared.index, self._exchange.headers.get("Host", "")
         route = index.find_route(host, self._exchange.target) if index else None
         return route.name if route else ""
+
+
+def _check_event_size(splitter: eventstream.EventSplitter) -> None:
+    """Checks the size of an event that is not complete yet.
+
+    Raises:
+        errors.BackendServerFailedError: It is over the size limit.
+    """
+    if splitter.is_oversized:
+        limit = eventstream.EVENT_MAX_BYTES
+        message = f"event larger than {limit} bytes"
+        raise errors.BackendServerFailedError(message, "read answer")
