--- a/src/lycheegauge/internal/daemons/engineclient.py
+++ b/src/lycheegauge/internal/daemons/engineclient.py
@@ -15,6 +15,9 @@
 """An engine answers within a few ms. While a forward pass is held, each unanswered
 order makes the whole group wait for this long."""
 
+DOCUMENT_MAX_BYTES = 1_048_576
+"""Size limit of an engine's answer."""
+
 OUTCOMES_BY_STATUS = {
     200: maporders.MapOrderOutcome.DONE,
     202: maporders.MapOrderOutcome.BEGUN,
@@ -91,7 +94,7 @@
 
         Raises:
             errors.PeerUnreachableError: The engine did not answer in time.
-            errors.BackendServerFailedError: The answer was cut short.
+            errors.BackendServerFailedError: The answer was cut short or too large.
         """
         address = self._address
         try:
@@ -121,6 +124,9 @@
             body = bytearray()
             while part := await connection.read_chunk():
                 body += part
+                if len(body) > DOCUMENT_MAX_BYTES:
+                    message = f"answer larger than {DOCUMENT_MAX_BYTES} bytes"
+                    raise errors.BackendServerFailedError(message, "ask", address)
             is_complete = True
             return head.status, bytes(body)
         finally:
