--- a/src/lycheegauge/internal/coordination/crashdetector.py
+++ b/src/lycheegauge/internal/coordination/crashdetector.py
@@ -10,13 +10,16 @@
 import collections
 import dataclasses
 
-from lycheegauge.internal.coordination import crashes
+from lycheegauge.internal.coordination import crashes, partdetector
 from lycheegauge.internal.protocol import changes, roster
 
 EVIDENCE_KEPT_S = 20.0
 """How long a broken attempt is kept as evidence, in seconds. The restart of a server,
 the formation of its group and its first announcement take several seconds."""
 
+RESTART_MIN_S = 0.5
+"""Shortest time in which a crashed server can respond again, in seconds."""
+
 MAX_PENDING_REPORTS = 64
 """Maximum number of reports not yet committed; the oldest are dropped first."""
 
@@ -28,11 +31,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _BrokenAttempt:
-    """A request whose attempt broke off, and the server instance it ran on."""
+    """A request whose attempt broke off, and the server instance it ran on.
+
+    ``suspect`` has the parts of its prompt, if they may have crashed the server.
+    """
 
     server: roster.ServerListing
     fingerprint: str
     broken_at: float
+    suspect: partdetector.Suspect | None
 
 
 class CrashDetector:
@@ -41,6 +48,7 @@
     def __init__(self) -> None:
         self._answered: collections.OrderedDict[str, None] = collections.OrderedDict()
         self.quarantine = crashes.QuarantineView()
+        self.parts = partdetector.PartDetector()
         self._broken_attempts: dict[str, collections.deque[_BrokenAttempt]] = {}
         self._pending_reports: dict[str, changes.ReportCrash] = {}
         self._pending_clearances: dict[str, None] = {}
@@ -62,16 +70,40 @@
         return self.quarantine.get_verdict(fingerprint)
 
     def record_broken_attempt(
-        self, server: roster.ServerListing, fingerprint: str, now: float
+        self,
+        server: roster.ServerListing,
+        fingerprint: str,
+        now: float,
+        suspect: partdetector.Suspect | None = None,
     ) -> None:
         """Records that a request that may have run broke off at a server."""
         if fingerprint in self._answered:
             return
         evidence = self._broken_attempts.setdefault(server.address, collections.deque())
-        evidence.append(_BrokenAttempt(server, fingerprint, now))
+        evidence.append(_BrokenAttempt(server, fingerprint, now, suspect))
         while evidence and evidence[0].broken_at < now - EVIDENCE_KEPT_S:
             evidence.popleft()
 
+    def record_alive(
+        self, server: roster.ServerListing, sent_at: float, now: float
+    ) -> None:
+        """Drops what broke off shortly before a request that the server responds to.
+
+        A server that crashed takes seconds to return.
+        """
+        evidence = self._broken_attempts.get(server.address)
+        if evidence is None or now - sent_at > RESTART_MIN_S:
+            return
+        kept = [
+            item
+            for item in evidence
+            if item.broken_at >= sent_at or item.broken_at < now - RESTART_MIN_S
+        ]
+        if kept:
+            self._broken_attempts[server.address] = collections.deque(kept)
+        else:
+            del self._broken_attempts[server.address]
+
     def record_answered(self, fingerprint: str) -> None:
         """Records a request that was completely answered; clears it if suspected."""
         verdict = self.quarantine.get_verdict(fingerprint)
@@ -121,6 +153,9 @@
         boot_id = str(newest.born_ms)
         report = changes.ReportCrash(newest.name, boot_id, fingerprints, 0.0)
         self._pending_reports[newest.incarnation] = report
+        suspects = [item.suspect for item in attempts if item.suspect is not None]
+        if suspects:
+            self.parts.report_crash(newest, suspects)
         while len(self._pending_reports) > MAX_PENDING_REPORTS:
             del self._pending_reports[next(iter(self._pending_reports))]
         # Takes effect on this host before the log has committed it.
@@ -141,7 +176,7 @@
     def attach_reports(self, pull: roster.RosterPull) -> roster.RosterPull:
         """Adds unacknowledged reports; they are resent until the log has them."""
         return dataclasses.replace(
-            pull,
+            self.parts.attach_reports(pull),
             crashes=tuple(self._pending_reports.values()),
             cleared=tuple(self._pending_clearances),
             quarantine_version=self.quarantine.version,
@@ -154,6 +189,7 @@
         if reply.quarantine is not None:
             self.quarantine.update(reply.quarantine)
         self.quarantine.expire_notifications(now)
+        self.parts.apply_reply(pull, reply)
         if not reply.has_recorded:
             return
         for report in pull.crashes:
--- a/src/lycheegauge/internal/daemons/controlgate.py
+++ b/src/lycheegauge/internal/daemons/controlgate.py
@@ -5,6 +5,8 @@
 commits nothing makes no change that a failure could undo.
 """
 
+import dataclasses
+import json
 import zlib
 
 import loguru
@@ -96,6 +98,10 @@
                 return await self._handle_announcement(call.server, body)
             case controlcalls.Leave():
                 return await self._handle_leave(call.server, body)
+            case controlcalls.ListCrashingParts():
+                return await self._list_crashing_parts()
+            case controlcalls.ClearCrashingPart():
+                return await self._commit(changes.ClearPart(call.part, (), True, 0.0))
         return controlapi.Response(NOT_FOUND)
 
     async def _put_table(self, body: bytes) -> controlapi.Response:
@@ -124,6 +130,15 @@
             return _make_unavailable("no route table has been accepted yet")
         return controlapi.Response(OK, zlib.decompress(table.body))
 
+    async def _list_crashing_parts(self) -> controlapi.Response:
+        read = await self._host.task.read()
+        if isinstance(read, result.Failure):
+            return _make_unavailable(str(read.failure()))
+        parts = [
+            dataclasses.asdict(item) for item in self._host.crashing_parts.current.parts
+        ]
+        return controlapi.Response(OK, json.dumps({"parts": parts}).encode())
+
     async def _handle_announcement(
         self, server: str, body: bytes
     ) -> controlapi.Response:
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -13,6 +13,7 @@
     eventstream,
     forwardrules,
     headers,
+    partdetector,
     repeatbudget,
     routeindex,
 )
@@ -24,6 +25,7 @@
     from lycheegauge.internal.daemons import forwarder
 
 OK = 200
+REDIRECT_MIN = 300
 EVENT_STREAM_TYPE = "text/event-stream"
 BUFFERED_BODY_MAX_BYTES = 262_144
 """A non-streamed response up to this size is buffered completely before it is
@@ -81,6 +83,11 @@
         self._runs = 0
         self._refusals = 0
         self._may_have_run = False
+        self._parts: tuple[str, ...] = ()
+        self._suspicions: partdetector.Suspicions = {}
+        self._sent_at = math.inf
+        self._is_settled = False
+        self._first_written_at: float | None = None
         self._splitter: eventstream.EventSplitter | None = None
         self._record = requestrecord.RequestRecord(
             shared, self._request_id, exchange.arrived_at
@@ -145,12 +152,28 @@
         ):
             return shared.refuse(work.RefusalReason.QUARANTINED)
         self._service = routeindex.choose_service(self._route, shared.random_source)
+        self._parts = self._list_parts()
+        if self._find_refused_part():
+            return self._refuse_part()
         self._set_deadline(self._route)
         if not shared.has_server(self._service):
             return shared.refuse(work.RefusalReason.NO_BACKEND_SERVER)
         shared.note_request(self._service)
         return None
 
+    def _list_parts(self) -> tuple[str, ...]:
+        """Lists the parts that the prompt shares with others, by service."""
+        header = self._exchange.headers.get(self._names.prompt_parts, "")
+        ids = self._shared.dialect.parse_prompt_parts(header)
+        return tuple(f"{self._service}/{part}" for part in ids)
+
+    def _find_refused_part(self) -> str:
+        return self._shared.crashdetector.parts.find_refused(self._parts)
+
+    def _refuse_part(self) -> forwardrules.GivenUp:
+        detail = f"part {self._find_refused_part()} of the prompt crashed servers"
+        return self._give_up(work.RefusalReason.QUARANTINED, detail)
+
     def _check_key(self, index: routeindex.RouteIndex) -> forwardrules.GivenUp | None:
         assert self._route is not None
         if not index.table.needs_keys:
@@ -193,13 +216,9 @@
             chosen = self._shared.choose_server(self._service, self._tried_servers)
             if isinstance(chosen, forwardrules.GivenUp):
                 return self._give_up(chosen.reason)
-            if not self._runs + self._refusals:
-                refusal = self._shared.check_wait(self._route, self._service, chosen)
-                if refusal is not None:
-                    return refusal
-            elif not self._spend_retry_budget():
-                detail = self._budget.describe(clock.read_clock())
-                return self._give_up(work.RefusalReason.RETRY_BUDGET_SPENT, detail)
+            refusal = self._find_attempt_refusal(chosen)
+            if refusal is not None:
+                return refusal
             try:
                 connection = await self._shared.pool.acquire(
                     chosen.incarnation, chosen.address
@@ -219,6 +238,20 @@
                 return given_up
             self._shared.metrics.count_retry(self._get_retry_reason(given_up))
 
+    def _find_attempt_refusal(
+        self, server: roster.ServerListing
+    ) -> forwardrules.GivenUp | None:
+        """Returns why no attempt is made at a server; charges the retry budget."""
+        assert self._route is not None
+        if not self._runs + self._refusals:
+            return self._shared.check_wait(self._route, self._service, server)
+        if self._find_refused_part():
+            return self._refuse_part()
+        if not self._spend_retry_budget():
+            detail = self._budget.describe(clock.read_clock())
+            return self._give_up(work.RefusalReason.RETRY_BUDGET_SPENT, detail)
+        return None
+
     def _get_retry_reason(self, given_up: forwardrules.GivenUp) -> work.RetryReason:
         if given_up.reason is work.RefusalReason.BACKEND_SERVERS_FULL:
             return work.RetryReason.BACKEND_SERVER_REFUSED
@@ -266,8 +299,10 @@
         shared.note_sent(server.name)
         self._tried_servers.add(server.name)
         self._server = server.name
+        self._suspicions = shared.crashdetector.parts.list_suspicions(self._parts)
+        self._is_settled, self._first_written_at = False, None
         is_complete = False
-        sent_at = clock.read_clock()
+        sent_at = self._sent_at = clock.read_clock()
         try:
             connection.send(self._make_head(server), self._exchange.body)
             was_run, self._may_have_run = self._may_have_run, True
@@ -292,13 +327,18 @@
             await self._forward_response(head, connection)
             is_complete = True
             self._record.write_answered(self._route, head, self._runs)
+            if head.status < REDIRECT_MIN:
+                self._note_settled(clock.read_clock())
             shared.crashdetector.record_answered(self._digest_request())
             served_s = clock.read_clock() - sent_at
             shared.get_forecast(self._service).note_served(served_s)
             return None
         except errors.BackendServerFailedError as error:
             self._record_failure(server, str(error))
-            shared.record_broken_attempt(server, self._digest_request())
+            suspected_parts = () if self._is_settled else self._parts
+            shared.record_broken_attempt(
+                server, self._digest_request(), suspected_parts
+            )
             return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED, str(error))
         except errors.BorderError as error:
             return self._give_up(work.RefusalReason.BAD_REQUEST, str(error))
@@ -324,7 +364,9 @@
                 head = await connection.read_head()
             finally:
                 watch.close()
-        shared.progress.note_part(self._service, server.name, clock.read_clock())
+        now = clock.read_clock()
+        shared.progress.note_part(self._service, server.name, now)
+        shared.crashdetector.record_alive(server, self._sent_at, now)
         return head
 
     def _make_head(self, server: roster.ServerListing) -> upstream.RequestHead:
@@ -495,8 +537,19 @@
         if detail:
             raise errors.BackendServerFailedError(detail, "read answer")
 
+    def _note_settled(self, now: float) -> None:
+        """Records that the attempt's answer did not crash its server."""
+        if not self._is_settled and self._parts:
+            self._is_settled = True
+            parts = self._shared.crashdetector.parts
+            parts.note_settled(self._parts, self._suspicions, now)
+
     async def _write(self, part: bytes) -> None:
         now = clock.read_clock()
+        if self._first_written_at is None:
+            self._first_written_at = now
+        elif now - self._first_written_at >= partdetector.SETTLED_S:
+            self._note_settled(now)
         gap_s = self._record.note_part(now)
         self._shared.note_gap(self._service, gap_s)
         self._shared.progress.note_part(self._service, self._server, now)
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -17,6 +17,7 @@
     crashes,
     forwardrules,
     hostshares,
+    partdetector,
     progress,
     repeatbudget,
     requestoutcomes,
@@ -177,12 +178,22 @@
             self.sweep()
 
     def record_broken_attempt(
-        self, server: roster.ServerListing, fingerprint: str
+        self, server: roster.ServerListing, fingerprint: str, parts: tuple[str, ...]
     ) -> None:
-        """Records an aborted attempt and probes whether its server is gone."""
-        self.crashdetector.record_broken_attempt(
-            server, fingerprint, clock.read_clock()
-        )
+        """Records an aborted attempt and probes whether its server is gone.
+
+        Args:
+            server: The attempt's server.
+            fingerprint: The digest of the request.
+            parts: The shared parts of its prompt, if they may have crashed the server.
+        """
+        now = clock.read_clock()
+        suspect = None
+        if parts:
+            slots = max(1, self._count_slots(server))
+            open_requests = self.choice.estimate(server, slots, now) * slots
+            suspect = partdetector.Suspect(parts, open_requests)
+        self.crashdetector.record_broken_attempt(server, fingerprint, now, suspect)
         if server.incarnation in self._probes:
             return
         task = asyncio.create_task(self._probe(server))
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -36,7 +36,13 @@
     roster,
 )
 from lycheegauge.internal.protocol.generated import services_grpc
-from lycheegauge.internal.state import journal, machine, quarantine, routing
+from lycheegauge.internal.state import (
+    crashingparts,
+    journal,
+    machine,
+    quarantine,
+    routing,
+)
 from lycheegauge.internal.transport import clock, peers
 
 FIRST_DISK_ID = "first"
@@ -184,6 +190,12 @@
         part = self.machine.parts["quarantine"]
         return typing.cast(quarantine.QuarantineList, part)
 
+    @property
+    def crashing_parts(self) -> crashingparts.CrashingParts:
+        """The parts of prompts that crashed backend servers, as applied here."""
+        part = self.machine.parts["crashingparts"]
+        return typing.cast(crashingparts.CrashingParts, part)
+
     @property
     def leader_address(self) -> str:
         """The address of the leader that this replica follows, or an empty string."""
@@ -353,10 +365,19 @@
     async def _record_crashes(self, request: roster.RosterPull) -> bool:
         """Commits a host's crash reports; returns whether all are committed."""
         now = clock.read_clock()
-        log_time_s = self._log_clock.read(self.quarantine.log_time_s, now)
+        known_s = max(self.quarantine.log_time_s, self.crashing_parts.log_time_s)
+        log_time_s = self._log_clock.read(known_s, now)
         reported: list[changes.Change] = [
             *(dataclasses.replace(c, log_time_s=log_time_s) for c in request.crashes),
             *(changes.ClearSuspect(name, log_time_s) for name in request.cleared),
+            *(
+                dataclasses.replace(report, log_time_s=log_time_s)
+                for report in request.part_crashes
+            ),
+            *(
+                dataclasses.replace(item, log_time_s=log_time_s)
+                for item in request.cleared_parts
+            ),
         ]
         for change in reported:
             outcome = await self.task.propose(change)
@@ -373,6 +394,11 @@
                 version=self.quarantine.current.version,
                 refused=len(self.quarantine.current.refused),
                 suspects=len(self.quarantine.current.suspects),
+                parts_refused=[
+                    item.part
+                    for item in self.crashing_parts.current.parts
+                    if item.is_refused
+                ],
             )
         return True
 
@@ -396,6 +422,9 @@
         refused: freshness.Quarantine | None = self.quarantine.current
         if request.quarantine_version == self.quarantine.current.version:
             refused = None
+        part_list: freshness.CrashingPartList | None = self.crashing_parts.current
+        if request.part_list_version == self.crashing_parts.current.version:
+            part_list = None
         return roster.RosterReply(
             proof,
             *hints,
@@ -411,6 +440,7 @@
             elsewhere,
             refused,
             pull_interval_s=self.get_pull_interval(),
+            part_list=part_list,
         )
 
     def get_pull_interval(self) -> float:
--- a/src/lycheegauge/internal/protocol/changes.py
+++ b/src/lycheegauge/internal/protocol/changes.py
@@ -131,6 +131,31 @@
     log_time_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportPartCrash:
+    """The parts of prompts that may have crashed a backend server.
+
+    ``evidence`` has a number for each part: the negative decimal logarithm of the
+    probability that a request with the part was there by chance.
+    """
+
+    backend_server: str
+    boot_id: str
+    parts: tuple[str, ...]
+    evidence: tuple[float, ...]
+    log_time_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearPart:
+    """Clears a part of the crashes of some boots, or of all if it is forced."""
+
+    part: str
+    boots: tuple[str, ...]
+    is_forced: bool
+    log_time_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeEpoch:
     """Makes ``holder`` the coordinator of a group, with a new, higher epoch."""
@@ -221,6 +246,8 @@
     | SettleClaim
     | ReportCrash
     | ClearSuspect
+    | ReportPartCrash
+    | ClearPart
     | TakeEpoch
     | CommitMap
     | PutRouteTable
--- a/src/lycheegauge/internal/protocol/controlcalls.py
+++ b/src/lycheegauge/internal/protocol/controlcalls.py
@@ -53,8 +53,28 @@
     """Asks whether a host accepts callers."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListCrashingParts:
+    """Returns the parts of prompts that are suspected to crash servers, or refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearCrashingPart:
+    """Clears a part of prompts of all crashes."""
+
+    part: str
+
+
 Call: typing.TypeAlias = (
-    PutTable | ReadTable | SetZone | Announce | Leave | ListEntryHosts | CheckReadiness
+    PutTable
+    | ReadTable
+    | SetZone
+    | Announce
+    | Leave
+    | ListEntryHosts
+    | CheckReadiness
+    | ListCrashingParts
+    | ClearCrashingPart
 )
 
 
@@ -70,6 +90,7 @@
         priority: The priority at the backend server, 0 to 9; 0 goes first.
         not_run: Set on an answer to state that the request was not run.
         last_event_id: The id of the last event that the caller received.
+        prompt_parts: The parts of the request's prompt.
     """
 
     request_id: str
@@ -79,6 +100,7 @@
     priority: str
     not_run: str
     last_event_id: str
+    prompt_parts: str
 
 
 class Dialect(typing.Protocol):
@@ -112,6 +134,9 @@
     def parse_api_key(self, authorization: str) -> str:
         """Returns the key in an ``Authorization`` header; empty if there is none."""
 
+    def parse_prompt_parts(self, header: str) -> tuple[str, ...]:
+        """Returns the ids of the parts that a prompt shares with other requests."""
+
     def encode_entry_addresses(
         self, addresses: tuple[str, ...], valid_s: float
     ) -> bytes:
--- a/src/lycheegauge/internal/protocol/freshness.py
+++ b/src/lycheegauge/internal/protocol/freshness.py
@@ -118,6 +118,32 @@
     suspect_boots: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashingPart:
+    """A part of prompts that is suspected to crash servers, or refused.
+
+    Attributes:
+        part: The service and the part's id.
+        boots: The boots of servers that crashed with it and don't count as cleared.
+        evidence: Sum of the negative decimal logarithms of the probabilities that it
+            was there by chance.
+        is_refused: Whether requests with it must not run.
+    """
+
+    part: str
+    boots: tuple[str, ...]
+    evidence: float
+    is_refused: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashingPartList:
+    """All suspected and refused parts, as of a version of the log's state."""
+
+    version: int
+    parts: tuple[CrashingPart, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryPullReply:
     """A proof and the changes that the requester has not yet seen.
--- a/src/lycheegauge/internal/protocol/ledger.py
+++ b/src/lycheegauge/internal/protocol/ledger.py
@@ -60,6 +60,38 @@
     last_crash_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartRecord:
+    """The crashes that count or counted against one part of prompts.
+
+    ``boots``, ``evidence`` and ``cleared`` have one item for each crash.
+    """
+
+    part: str
+    boots: tuple[str, ...]
+    evidence: tuple[float, ...]
+    cleared: tuple[bool, ...]
+    last_crash_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceCrashes:
+    """The latest crashed boots of a service's servers, oldest first."""
+
+    service: str
+    boots: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashingPartsState:
+    """Snapshot of the evidence against parts of prompts."""
+
+    log_time_s: float
+    version: int
+    records: tuple[PartRecord, ...]
+    services: tuple[ServiceCrashes, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineState:
     """Snapshot of the whole quarantine list."""
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -18,10 +18,15 @@
     priority="Lycheegauge-Priority",
     not_run="Lycheegauge-Not-Run",
     last_event_id="Last-Event-Id",
+    prompt_parts="Lycheegauge-Prompt-Parts",
 )
 
 AUTHORIZATION_SCHEME = "Bearer "
 
+PART_ID_MAX_LENGTH = 64
+PROMPT_PARTS_MAX = 32
+"""Parts of a prompt that are read; callers choose how many they send."""
+
 
 class Model(pydantic.BaseModel):
     """Base model that rejects unknown keys."""
@@ -178,6 +183,10 @@
                 return controlcalls.ListEntryHosts(asked.get("zone", [""])[0])
             case "GET", ["v1", "ready"]:
                 return controlcalls.CheckReadiness()
+            case "GET", ["v1", "crashing-parts"]:
+                return controlcalls.ListCrashingParts()
+            case "DELETE", ["v1", "crashing-parts", service, part]:
+                return controlcalls.ClearCrashingPart(f"{service}/{part}")
         return None
 
     def parse_table(
@@ -225,6 +234,10 @@
             return authorization.removeprefix(AUTHORIZATION_SCHEME).strip()
         return ""
 
+    def parse_prompt_parts(self, header: str) -> tuple[str, ...]:
+        """Returns the ids of the parts that a prompt shares with other requests."""
+        return parse_part_list(header)
+
     def encode_entry_addresses(
         self, addresses: tuple[str, ...], valid_s: float
     ) -> bytes:
@@ -243,6 +256,16 @@
     return routetables.Route(**values)
 
 
+def parse_part_list(header: str) -> tuple[str, ...]:
+    """Returns the ids in a list of ``ID:TOKENS`` entries without the last one.
+
+    The last part belongs to the request itself.
+    """
+    entries = header.split(",", PROMPT_PARTS_MAX)
+    ids = (entry.partition(":")[0].strip() for entry in entries[:-1])
+    return tuple(item for item in ids if 0 < len(item) <= PART_ID_MAX_LENGTH)
+
+
 def make_failure(
     error: pydantic.ValidationError, step: str
 ) -> result.Result[typing.Any, errors.BorderError]:
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -144,7 +144,8 @@
     """A host's request for updates; ``host`` is ``None`` for log hosts.
 
     ``open_requests`` are the requester's own, ``gaps`` those since its last
-    request. ``crashes`` and ``cleared`` are resent until the log has stored them.
+    request. ``crashes``, ``cleared``, ``part_crashes`` and ``cleared_parts`` are resent
+    until the log has stored them.
     ``log_host`` is the address of a log host that pulls, ``log_host_incarnation`` names
     its process start, and ``silent_servers`` are those that it can't reach while it
     coordinates the expert maps. ``demand`` is that of an entry host for its share of
@@ -165,6 +166,9 @@
     silent_servers: tuple[str, ...] = ()
     log_host_incarnation: str = ""
     demand: HostDemand | None = None
+    part_crashes: tuple[changes.ReportPartCrash, ...] = ()
+    cleared_parts: tuple[changes.ClearPart, ...] = ()
+    part_list_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -209,6 +213,7 @@
     pull_interval_s: float = 0.0
     appointment: MapAppointment | None = None
     share: HostShare | None = None
+    part_list: freshness.CrashingPartList | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/steps/crashingparts.py
+++ b/tests/steps/crashingparts.py
@@ -43,7 +43,7 @@
 
         def ask():
             answer = self.fleet.request(
-                "/safe/x", name, gateway=gateway, **{PARTS_HEADER: parts}
+                f"/safe/{name}", name, gateway=gateway, **{PARTS_HEADER: parts}
             )
             self.results[name] = (sent_at, answer.status)
 
