--- a/src/lycheegauge/internal/coordination/crashdetector.py
+++ b/src/lycheegauge/internal/coordination/crashdetector.py
@@ -17,6 +17,10 @@
 """How long a broken attempt is kept as evidence, in seconds. The restart of a server,
 the formation of its group and its first announcement take several seconds."""
 
+BREAK_SPREAD_S = 1.0
+"""Time within which a crash breaks off all attempts at a server, in seconds. Earlier
+ones broke off for another reason, such as a crash of another rank of its group."""
+
 RESTART_MIN_S = 0.5
 """Shortest time in which a crashed server can respond again, in seconds."""
 
@@ -153,7 +157,12 @@
         boot_id = str(newest.born_ms)
         report = changes.ReportCrash(newest.name, boot_id, fingerprints, 0.0)
         self._pending_reports[newest.incarnation] = report
-        suspects = [item.suspect for item in attempts if item.suspect is not None]
+        since = attempts[-1].broken_at - BREAK_SPREAD_S
+        suspects = [
+            item.suspect
+            for item in attempts
+            if item.suspect is not None and item.broken_at >= since
+        ]
         if suspects:
             self.parts.report_crash(newest, suspects)
         while len(self._pending_reports) > MAX_PENDING_REPORTS:
--- a/tests/properties/partdetector.feature
+++ b/tests/properties/partdetector.feature
@@ -17,6 +17,7 @@
   Scenario: Only what may have caused a crash is evidence
     Then an answer that began before a crash does not clear its part of it
     And an answer that was written for longer than half a second is no suspect
+    And an attempt that broke off long before the crash is no suspect
     And a server that responds again at once has not crashed
 
   Scenario: The list of parts is kept, shown and cleared
--- a/tests/steps/partdetector.py
+++ b/tests/steps/partdetector.py
@@ -192,6 +192,19 @@
     assert hosts.log.current.parts == ()
 
 
+@behave.then("an attempt that broke off long before the crash is no suspect")
+def check_early_break(context):
+    hosts = context.make_hosts(1)
+    detector, server = hosts.detectors[0], make_server(1)
+    early = partdetector.Suspect(("model/early",), 1.0)
+    detector.record_broken_attempt(server, "early", 10.0, early)
+    late = partdetector.Suspect(("model/late",), 1.0)
+    detector.record_broken_attempt(server, "late", 15.0, late)
+    detector.handle_refused_connection(server, 15.1)
+    hosts.exchange()
+    assert [item.part for item in hosts.log.current.parts] == ["model/late"]
+
+
 @behave.then("a server that responds again at once has not crashed")
 def check_alive(context):
     hosts = context.make_hosts(1)
