--- a/src/lycheegauge/internal/coordination/hostshares.py
+++ b/src/lycheegauge/internal/coordination/hostshares.py
@@ -40,6 +40,7 @@
         self._sent_at = -math.inf
         self._held_sequence = 0
         self._ends_at = -math.inf
+        self._position = 0.0
         self._periods = collections.deque([_Period(-math.inf, 0.0)])
         self._rate = 0.0
         self._rate_at = -math.inf
@@ -80,8 +81,13 @@
         for period in self._periods:
             # No host held this part in the window, so this host may count it as held.
             period.fraction += share.unused_fraction
+        self._position = share.position
         self._begin_period(now, share.fraction)
 
+    def get_interval(self, now: float) -> tuple[float, float]:
+        """Returns the position and length of this host's part of all limits."""
+        return self._position, self.get_fraction(now)
+
     def get_fraction(self, now: float) -> float:
         """Returns the fraction held now; 0 without a valid lease."""
         self._end_expired(now)
--- a/src/lycheegauge/internal/coordination/sharegrants.py
+++ b/src/lycheegauge/internal/coordination/sharegrants.py
@@ -127,7 +127,9 @@
         holder.grants.append(_Grant(demand.sequence, fraction, holder.present_until))
         self._record_total(unused, now)
         lease_s = max(0.0, self._lease_s - proof_age_s)
-        return roster.HostShare(demand.sequence, fraction, lease_s, unused)
+        return roster.HostShare(
+            demand.sequence, fraction, lease_s, unused, self._find_position(incarnation)
+        )
 
     def _update_holder(
         self, holder: _Holder, demand: roster.HostDemand, now: float
@@ -148,6 +150,10 @@
         fraction = EQUAL_FRACTION / count + (1.0 - EQUAL_FRACTION) * proportional
         return (1.0 - NEW_HOSTS_FRACTION) * fraction
 
+    def _find_position(self, incarnation: str) -> float:
+        before = (name for name in self._holders if name < incarnation)
+        return sum(self._compute_target(self._holders[name]) for name in before)
+
     def _count_free(self, holder: _Holder, is_recovering: bool) -> float:
         """Returns the highest fraction that a holder may be granted now."""
         others = sum(
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -215,7 +215,9 @@
         while True:
             chosen = self._shared.choose_server(self._service, self._tried_servers)
             if isinstance(chosen, forwardrules.GivenUp):
-                return self._give_up(chosen.reason)
+                if self._may_have_run:
+                    return self._give_up(chosen.reason, chosen.detail)
+                return chosen
             refusal = self._find_attempt_refusal(chosen)
             if refusal is not None:
                 return refusal
@@ -367,6 +369,7 @@
         now = clock.read_clock()
         shared.progress.note_part(self._service, server.name, now)
         shared.crashdetector.record_alive(server, self._sent_at, now)
+        shared.note_limit(server, head.get(self._names.server_limit))
         return head
 
     def _make_head(self, server: roster.ServerListing) -> upstream.RequestHead:
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -24,6 +24,7 @@
     rosterview,
     routeindex,
     serverchoice,
+    serverlimits,
     waitforecast,
 )
 from lycheegauge.internal.daemons import forwardedrequest, loadsharing, silencewatch
@@ -66,6 +67,8 @@
 OUTCOMES_INTERVAL_S = 2.0
 """Interval at which the counts of ended requests are logged, in seconds."""
 
+LIMIT_RETRY_AFTER_MAX_S = 2.0
+
 START_WAITERS_MAX = 256
 """Maximum number of requests that wait while the host starts; each holds its body in
 memory."""
@@ -97,6 +100,7 @@
         self.random_source = random.Random()
         self.choice = serverchoice.ServerChoice(self.random_source)
         self.cold_limiter = coldratelimit.ColdRateLimiter()
+        self.limits = serverlimits.ServerLimits()
         self.share = hostshares.HostShareHolder(
             part.repeats.window_s + repeatbudget.TRANSIT_S
         )
@@ -223,8 +227,9 @@
     def sweep(self) -> None:
         """Closes idle connections that are old or whose server is gone."""
         self.progress.drop_silent(clock.read_clock() - PROGRESS_RETENTION_S)
-        servers = self.view.servers.values()
-        self.pool.close_stale({server.incarnation for server in servers})
+        present = {server.incarnation for server in self.view.servers.values()}
+        self.pool.close_stale(present)
+        self.limits.remove_absent(present)
 
     def log_outcomes(self) -> None:
         """Logs how the requests of each route ended since the last such line."""
@@ -328,7 +333,13 @@
         if not usable:
             return self.refuse(work.RefusalReason.BACKEND_SERVERS_FULL)
         usable = [server for server in usable if not server.silent] or usable
-        untried = [server for server in usable if server.name not in tried] or usable
+        interval = self.share.get_interval(now)
+        unlimited = [
+            s for s in usable if self.limits.may_send(s.incarnation, interval, now)
+        ]
+        if not unlimited:
+            return self._refuse_by_limit(usable)
+        untried = [s for s in unlimited if s.name not in tried] or unlimited
         allowed = [s for s in untried if self._allows_cold_request(s, declared, now)]
         if not allowed:
             return self.refuse(work.RefusalReason.COLD_LIMIT)
@@ -336,8 +347,32 @@
         assert chosen is not None
         if self._is_cold(chosen, declared, now):
             self.cold_limiter.take(chosen.name)
+        self.limits.take(chosen.incarnation)
         return chosen
 
+    def _refuse_by_limit(
+        self, servers: list[roster.ServerListing]
+    ) -> forwardrules.GivenUp:
+        """Refuses a request until one of the servers takes another one."""
+        shortest_s = min(self.limits.get_interval_s(s.incarnation) for s in servers)
+        after_s = min(LIMIT_RETRY_AFTER_MAX_S, shortest_s)
+        return forwardrules.give_up(
+            work.RefusalReason.SERVER_LIMIT,
+            work.RunState.NOT_RUN,
+            after_s,
+            f"{len(servers)} servers state a limit on their requests",
+        )
+
+    def note_limit(self, server: roster.ServerListing, header: str) -> None:
+        """Records the limit that a server's answer states, or that it states none."""
+        rate = parse_limit(header)
+        if self.limits.note_answer(server.incarnation, rate, clock.read_clock()):
+            loguru.logger.info(
+                "limit stated by a backend server",
+                server=server.name,
+                requests_per_s=rate,
+            )
+
     def note_sent(self, server: str) -> None:
         """Records that a request is sent to a server."""
         self.choice.note_sent(server)
@@ -438,6 +473,15 @@
         self.pool.close()
 
 
+def parse_limit(header: str) -> float | None:
+    """Reads a stated limit; ``None`` if there is none or it is not a number."""
+    try:
+        rate = float(header)
+    except ValueError:
+        return None
+    return rate if 0.0 <= rate < math.inf else None
+
+
 def _do_nothing() -> None:
     """Default for ``on_load_changed``, used until a listener is set."""
 
--- a/src/lycheegauge/internal/protocol/controlcalls.py
+++ b/src/lycheegauge/internal/protocol/controlcalls.py
@@ -91,6 +91,8 @@
         not_run: Set on an answer to state that the request was not run.
         last_event_id: The id of the last event that the caller received.
         prompt_parts: The parts of the request's prompt.
+        server_limit: In an answer, the requests per second that its server takes from
+            all hosts together.
     """
 
     request_id: str
@@ -101,6 +103,7 @@
     not_run: str
     last_event_id: str
     prompt_parts: str
+    server_limit: str
 
 
 class Dialect(typing.Protocol):
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -19,6 +19,7 @@
     not_run="Lycheegauge-Not-Run",
     last_event_id="Last-Event-Id",
     prompt_parts="Lycheegauge-Prompt-Parts",
+    server_limit="Lycheegauge-Server-Limit",
 )
 
 AUTHORIZATION_SCHEME = "Bearer "
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -131,12 +131,15 @@
         fraction: The fraction, from 0 to 1.
         lease_s: How long it is valid, in seconds from when the demand was sent.
         unused_fraction: The part of an increase that no host held within the window.
+        position: Where the fraction begins if those of all hosts are put side by side.
+            Unlike the sum, that is not guaranteed while the hosts change.
     """
 
     sequence: int
     fraction: float
     lease_s: float
     unused_fraction: float
+    position: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/protocol/work.py
+++ b/src/lycheegauge/internal/protocol/work.py
@@ -22,6 +22,7 @@
     BACKEND_SERVER_LEAVING = "backend_server_leaving"
     LEASE_EXPIRED = "lease_expired"
     COLD_LIMIT = "cold_limit"
+    SERVER_LIMIT = "server_limit"
     OVERLOADED = "overloaded"
     QUEUE_FULL = "queue_full"
     DEADLINE_EXCEEDED = "deadline_exceeded"
