--- a/src/lycheegauge/internal/coordination/limits.py
+++ b/src/lycheegauge/internal/coordination/limits.py
@@ -92,6 +92,7 @@
         self._limits: dict[str, intents.Organisation] = {}
         self._held: dict[str, HeldShare] = {}
         self._sent_at: dict[int, float] = {}
+        self._granter_starts: dict[str, str] = {}
 
     def set_limits(
         self, organisations: collections.abc.Iterable[intents.Organisation]
@@ -170,6 +171,7 @@
         sent_at = self._sent_at.get(grant.request_sequence)
         if sent_at is None or grant.holder != self._name:
             return
+        self._granter_starts[grant.granter] = grant.granter_start
         for share in grant.shares:
             held = self._held.get(share.organisation)
             if held is None or grant.request_sequence <= held.held_sequence:
@@ -238,7 +240,13 @@
             del self._sent_at[next(iter(self._sent_at))]
         demands = tuple(self._build_demand(name, now) for name in names)
         return AddressedRequest(
-            home, limits.ShareRequest(self._name, self._sequence, demands)
+            home,
+            limits.ShareRequest(
+                self._name,
+                self._sequence,
+                demands,
+                self._granter_starts.get(home, ""),
+            ),
         )
 
     def _build_demand(self, name: str, now: float) -> limits.LimitDemand:
--- a/src/lycheegauge/internal/coordination/limitshares.py
+++ b/src/lycheegauge/internal/coordination/limitshares.py
@@ -29,7 +29,8 @@
 
     After a start, the leases of the previous granter are unknown. Until they have
     expired, shares are only renewed as their holders report them, which does not
-    increase the total granted.
+    increase the total granted. A report that was sent before this granter started is
+    not renewed: the previous granter may have given the share away since then.
 
     Args:
         name: This host's name.
@@ -38,6 +39,7 @@
 
     def __init__(self, name: str, started_at: float) -> None:
         self._name = name
+        self._start = f"{name}/{started_at}"
         self._recovered_at = started_at + holders.LEASE_S + CLOCK_MARGIN_S
         self._limits: dict[str, intents.Organisation] = {}
         self._pools: dict[str, limitrecords.GrantPool] = {}
@@ -77,14 +79,21 @@
             return None
         self._remove_expired(now)
         self._sequences[request.holder] = (request.sequence, now)
+        is_informed = request.known_granter == self._start
         shares = tuple(
             self._grant(request, demand, now)
             for demand in request.demands
             if demand.organisation in self._limits
             and holders.find_home(demand.organisation, self._hosts) == self._name
+            and (is_informed or not self._is_recovering(demand.organisation, now))
         )
         return limits.ShareGrant(
-            self._name, request.holder, request.sequence, holders.LEASE_S, shares
+            self._name,
+            request.holder,
+            request.sequence,
+            holders.LEASE_S,
+            shares,
+            self._start,
         )
 
     def count_organisations(self) -> int:
--- a/src/lycheegauge/internal/protocol/limits.py
+++ b/src/lycheegauge/internal/protocol/limits.py
@@ -30,12 +30,14 @@
 class ShareRequest:
     """A holder's demands; ``sequence`` increases with each request it sends.
 
-    ``holder`` identifies the entry host and its incarnation.
+    ``holder`` identifies the entry host and its incarnation, and ``known_granter`` the
+    start of the granter that last answered it from this home.
     """
 
     holder: str
     sequence: int
     demands: tuple[LimitDemand, ...]
+    known_granter: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +54,8 @@
     """The reply to a ``ShareRequest``, whose sequence identifies the grant.
 
     The lease of ``lease_s`` seconds starts when the request with
-    ``request_sequence`` was sent, so a late reply only shortens it.
+    ``request_sequence`` was sent, so a late reply only shortens it. ``granter_start``
+    changes whenever the granter starts.
     """
 
     granter: str
@@ -60,3 +63,4 @@
     request_sequence: int
     lease_s: float
     shares: tuple[LimitShare, ...]
+    granter_start: str = ""
--- a/tests/properties/limits.feature
+++ b/tests/properties/limits.feature
@@ -24,3 +24,7 @@
 
   Scenario: Idle organisations cost no messages and no memory
     Then six thousand three hundred idle organisations leave no state behind
+
+  # Guards against a new granter that renews what the former one has given away since.
+  Scenario: A restarted granter does not renew a share from a request that was sent before
+    Then a share whose lease ended is not renewed by a late request to a restarted granter
--- a/tests/steps/limits.py
+++ b/tests/steps/limits.py
@@ -248,3 +248,51 @@
         network.arrive(0, names[0])
         network.exchange(0)
     assert granter.count_organisations() == 1
+
+
+@behave.then(
+    "a share whose lease ended is not renewed by a late request to a restarted granter"
+)
+def check_late_request(context):
+    network = support.Network(2)
+
+    def ask(index):
+        network.arrive(index)
+        network.ask(index)
+        return network.messages.pop()
+
+    def deliver(message):
+        network.messages.append(message)
+        network.deliver(len(network.messages) - 1)
+        while network.messages:
+            network.deliver(0)
+
+    deliver(ask(0))
+    for _ in range(40):
+        network.now += 0.2
+        network.arrive(0)
+        network.end(0)
+        network.exchange(0)
+    assert network.holders[0].get_shares("org", network.now)[0] > 0
+    late = None
+    # All renewals are lost but the last one, which is under way while the lease ends.
+    for _ in range(7):
+        network.now += 1.2
+        network.arrive(0)
+        network.end(0)
+        network.ask(0)
+        late = network.messages.pop() if network.messages else late
+        network.messages.clear()
+    network.now += 1.4
+    for _ in range(5):
+        for _ in range(10):
+            network.arrive(1)
+            network.end(1)
+        network.exchange(1)
+        network.now += 0.6
+    network.start_granter("home-0")
+    deliver(late)
+    check_shares(network)
+    assert network.holders[1].get_shares("org", network.now)[0] > 0
+    rate, _ = network.holders[0].get_shares("org", network.now)
+    assert rate == 0.0, "the share was renewed although it was given away"
