--- a/src/lycheegauge/internal/coordination/sharegrants.py
+++ b/src/lycheegauge/internal/coordination/sharegrants.py
@@ -143,16 +143,22 @@
         ]
         self._window_s = max(self._window_s, demand.window_s)
 
-    def _compute_target(self, holder: _Holder) -> float:
+    def _compute_target(self, *holders: _Holder) -> float:
+        """Returns the fraction that some holders together are to have."""
         count = len(self._holders)
-        total = sum(item.weight + BASE_WEIGHT_PER_S for item in self._holders.values())
-        proportional = (holder.weight + BASE_WEIGHT_PER_S) / total
-        fraction = EQUAL_FRACTION / count + (1.0 - EQUAL_FRACTION) * proportional
+        total = sum(item.weight for item in self._holders.values())
+        weight = sum(item.weight for item in holders)
+        proportional = (weight + BASE_WEIGHT_PER_S * len(holders)) / (
+            total + BASE_WEIGHT_PER_S * count
+        )
+        equal = len(holders) / count
+        fraction = EQUAL_FRACTION * equal + (1.0 - EQUAL_FRACTION) * proportional
         return (1.0 - NEW_HOSTS_FRACTION) * fraction
 
     def _find_position(self, incarnation: str) -> float:
-        before = (name for name in self._holders if name < incarnation)
-        return sum(self._compute_target(self._holders[name]) for name in before)
+        return self._compute_target(
+            *(item for name, item in self._holders.items() if name < incarnation)
+        )
 
     def _count_free(self, holder: _Holder, is_recovering: bool) -> float:
         """Returns the highest fraction that a holder may be granted now."""
