--- a/tests/processes/crashingparts.feature
+++ b/tests/processes/crashingparts.feature
@@ -6,3 +6,5 @@
     When requests with a crashing part arrive among sound ones of the same caller
     Then few requests with that part reach a server once it has crashed five
     And sound requests with the same first part are served at the first attempt as before
+    And the part is listed as refused, also after every log host was killed
+    And an operator can clear it
--- a/tests/steps/crashingparts.py
+++ b/tests/steps/crashingparts.py
@@ -4,7 +4,7 @@
 import time
 
 import behave
-from support import forwardingfleet
+from support import forwardingfleet, processes
 
 CONTACT_S = 3.0
 """Time within which hosts in contact with the log act on what others know."""
@@ -111,3 +111,38 @@
     since = find_last_counted_crash(context.fleet) + 2 * CONTACT_S
     after = measure_first_attempts(context, since, float("inf"))
     assert after >= before / 2, (before, after)
+
+
+def list_refused(fleet):
+    parts = fleet.call_control("/crashing-parts").document["parts"]
+    return {item["part"] for item in parts if item["is_refused"]}
+
+
+@behave.then("the part is listed as refused, also after every log host was killed")
+def check_listed(context):
+    fleet = context.fleet
+    assert list_refused(fleet) == {"drafting/bad"}
+    for number in range(3):
+        fleet.stop(f"control-{number + 1}")
+    for number in range(3):
+        fleet.start_control(number)
+    processes.wait_until(
+        lambda: list_refused(fleet) == {"drafting/bad"}, "the list is back"
+    )
+
+
+@behave.then("an operator can clear it")
+def check_cleared(context):
+    fleet = context.fleet
+    for server in fleet.servers:
+        server.crashing_part = ""
+    answer = fleet.call_control("/crashing-parts/drafting/bad", method="DELETE")
+    assert answer.status == 200, answer
+    assert list_refused(fleet) == set()
+    parts = {PARTS_HEADER: "shared:40,bad:200,own:300"}
+    processes.wait_until(
+        lambda: (
+            fleet.request("/safe/mended", f"m{time.time_ns()}", **parts).status == 200
+        ),
+        "requests with the part are served",
+    )
