--- a/src/lycheegauge/internal/coordination/hostshares.py
+++ b/src/lycheegauge/internal/coordination/hostshares.py
@@ -102,11 +102,6 @@
                 lowest = min(lowest, self._periods[index].fraction)
         return lowest
 
-    def get_fraction_at(self, at: float) -> float:
-        """Returns the fraction that counts as held at a time in the window."""
-        started = [period for period in self._periods if period.starts_at <= at]
-        return started[-1].fraction if started and at < self._ends_at else 0.0
-
     def _end_expired(self, now: float) -> None:
         if now >= self._ends_at:
             self._begin_period(self._ends_at, 0.0)
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -334,12 +334,12 @@
             return self.refuse(work.RefusalReason.BACKEND_SERVERS_FULL)
         usable = [server for server in usable if not server.silent] or usable
         interval = self.share.get_interval(now)
-        unlimited = [
+        within_limits = [
             s for s in usable if self.limits.may_send(s.incarnation, interval, now)
         ]
-        if not unlimited:
+        if not within_limits:
             return self._refuse_by_limit(usable)
-        untried = [s for s in unlimited if s.name not in tried] or unlimited
+        untried = [s for s in within_limits if s.name not in tried] or within_limits
         allowed = [s for s in untried if self._allows_cold_request(s, declared, now)]
         if not allowed:
             return self.refuse(work.RefusalReason.COLD_LIMIT)
--- a/tests/support/hostshares.py
+++ b/tests/support/hostshares.py
@@ -44,7 +44,10 @@
 
     def get_fraction_at(self, at):
         """Returns what counts as held at an earlier time; nothing after its end."""
-        return self.holder.get_fraction_at(at) if at < self.died_at else 0.0
+        if at >= min(self.died_at, self.holder._ends_at):
+            return 0.0
+        periods = [item for item in self.holder._periods if item.starts_at <= at]
+        return periods[-1].fraction if periods else 0.0
 
     def use_budget(self, ratio, slack, window_s):
         self.budget = repeatbudget.RepeatBudget(ratio, slack, window_s, self.holder)
