--- a/tests/steps/crashingparts.py
+++ b/tests/steps/crashingparts.py
@@ -142,7 +142,7 @@
     parts = {PARTS_HEADER: "shared:40,bad:200,own:300"}
     processes.wait_until(
         lambda: (
-            fleet.request("/safe/mended", f"m{time.time_ns()}", **parts).status == 200
+            fleet.request("/safe/fixed", f"m{time.time_ns()}", **parts).status == 200
         ),
         "requests with the part are served",
     )
