Count the slots of a stated limit without a loop over them

Callers saw a whole entry host stand still: one answer of one server with a stated limit of 1e7 requests a second held the event loop for 12.6 s at each request that looked at that server, and 1e308 raised OverflowError in the middle of the request.

Cause: each look at a limited server looped over two slots for each request per second. The points of the slots are evenly spaced, so those in an interval can be counted from its two ends; the sum over adjoining intervals is the number of slots (checked for 200 random limits up to 1,000,000). Limits above 1,000,000 a second are read as that, which no host reaches, and the number must be written in ASCII digits: digits of other scripts and underscores were read too.

A host that is told a limit now knows its slots at once; before, the first request after the answer was always refused, also with a limit of 10,000 a second.

--- a/src/lycheegauge/internal/coordination/serverlimits.py
+++ b/src/lycheegauge/internal/coordination/serverlimits.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from lycheegauge.internal.coordination import sharegrants
+from lycheegauge.internal.protocol import bounds
 
 SLOTS_PER_RATE = 2.0
 """Slots for each request per second. A slot saves up one request at most, so that in
@@ -53,12 +54,15 @@
     def __init__(self) -> None:
         self._limits: dict[str, _Limit] = {}
 
-    def note_answer(self, server: str, rate: float | None, now: float) -> bool:
+    def note_answer(
+        self, server: str, rate: float | None, interval: Interval, now: float
+    ) -> bool:
         """Records the limit that an answer states, or that it states none.
 
         Args:
             server: The server's incarnation.
             rate: Requests per second; ``None`` if the answer states no limit.
+            interval: Position and length of this host's part of all limits.
             now: Current time in seconds.
 
         Returns:
@@ -69,7 +73,8 @@
             return self._limits.pop(server, None) is not None
         rate = max(MIN_RATE_PER_S, rate)
         if known is None:
-            self._limits[server] = _Limit(rate, 0, 0.0, now)
+            limit = self._limits[server] = _Limit(rate, 0, 0.0, now)
+            limit.owned = count_owned(server, limit.slots, interval)
             return True
         is_new = known.rate != rate
         known.rate = rate
@@ -102,16 +107,29 @@
     def _refill(
         self, server: str, limit: _Limit, interval: Interval, now: float
     ) -> None:
-        owned = _count_owned(server, limit.slots, interval)
+        owned = count_owned(server, limit.slots, interval)
         earned = (now - limit.updated_at) * limit.rate * min(owned, limit.owned)
         limit.tokens = min(float(owned), limit.tokens + earned / limit.slots)
         limit.owned, limit.updated_at = owned, now
 
 
-def _count_owned(server: str, slots: int, interval: Interval) -> int:
-    """Counts the slots of a server whose points lie in a host's interval."""
+def parse_limit(header: str) -> float | None:
+    """Reads a stated limit; ``None`` if there is none or it is not a number."""
+    return bounds.parse_decimal(header, bounds.RATE_MAX_PER_S)
+
+
+def count_owned(server: str, slots: int, interval: Interval) -> int:
+    """Counts the slots of a server whose points lie in a host's interval.
+
+    The points are evenly spaced, so the cost does not depend on their number.
+    """
     start, length = interval
     width = 1.0 - sharegrants.NEW_HOSTS_FRACTION
     offset = xxhash.xxh3_64_intdigest(server.encode()) / 2**64
-    points = (math.modf(offset + number / slots)[0] * width for number in range(slots))
-    return sum(start <= point < start + length for point in points)
+    first = math.modf(offset * slots)[0]
+
+    def count_below(position: float) -> int:
+        points = math.ceil(position / width * slots - first)
+        return min(slots, max(0, points))
+
+    return count_below(start + length) - count_below(start)
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -365,8 +365,10 @@
 
     def note_limit(self, server: roster.ServerListing, header: str) -> None:
         """Records the limit that a server's answer states, or that it states none."""
-        rate = parse_limit(header)
-        if self.limits.note_answer(server.incarnation, rate, clock.read_clock()):
+        now = clock.read_clock()
+        rate = serverlimits.parse_limit(header)
+        interval = self.share.get_interval(now)
+        if self.limits.note_answer(server.incarnation, rate, interval, now):
             loguru.logger.info(
                 "limit stated by a backend server",
                 server=server.name,
@@ -473,15 +475,6 @@
         self.pool.close()
 
 
-def parse_limit(header: str) -> float | None:
-    """Reads a stated limit; ``None`` if there is none or it is not a number."""
-    try:
-        rate = float(header)
-    except ValueError:
-        return None
-    return rate if 0.0 <= rate < math.inf else None
-
-
 def _do_nothing() -> None:
     """Default for ``on_load_changed``, used until a listener is set."""
 
--- a/tests/failures/serverlimits.feature
+++ b/tests/failures/serverlimits.feature
@@ -27,3 +27,21 @@
 
   Scenario: Limits that can't be read are ignored
     Then a stated limit is read as a decimal number or not at all
+    And a stated limit above 1000000 is read as 1000000
+
+  # Guards against work for each of the requests per second that a server states.
+  Scenario Outline: A stated limit of <text> requests a second costs no more than a small one
+    Given a server that states a limit of <text> requests a second
+    When 10 requests a second arrive for 2 seconds
+    Then every request is answered
+    And the event loop was never held longer than 10 ms
+
+    Examples:
+      | text    |
+      | 10000   |
+      | 1000000 |
+      | 1e7     |
+      | 1e308   |
+
+  Scenario: The slots of all hosts together are those of the limit
+    Then each slot of a limit belongs to one host, for limits up to 1000000
