Bound every number that documents and headers from outside state

What callers and operators would have seen, none of it seen on a deployment yet:

- An announcement with `sequence` 2^63, or any other whole number beyond 64 bits, was recorded.
From then on the leader's news could not be encoded for any host, so all entry hosts lost their leases: one malformed message of one backend server stopped the whole system.
A departure notice, a route table and an engine's report alike.
- Times, rates and counts were accepted up to infinity (`1e400` reads as infinite), and later failed where they are converted or waited for.
- A caller's time left of more than 300 digits ended the request with an unexpected error, which the caller was told as 503.

Cause: the border models checked the sign, not the size.

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -18,7 +18,7 @@
     routeindex,
 )
 from lycheegauge.internal.daemons import requestrecord
-from lycheegauge.internal.protocol import calls, roster, routetables, work
+from lycheegauge.internal.protocol import bounds, calls, roster, routetables, work
 from lycheegauge.internal.transport import clock, ingress, upstream
 
 if typing.TYPE_CHECKING:
@@ -200,7 +200,7 @@
     def _read_time_left(self) -> float:
         """Returns how long the caller waits, in seconds; infinite if not stated."""
         header = self._exchange.headers.get(self._names.time_left_ms, "")
-        return int(header) / 1000 if header.isascii() and header.isdigit() else math.inf
+        return bounds.parse_duration_ms(header)
 
     @property
     def _remaining_s(self) -> float:
--- a/src/lycheegauge/internal/protocol/enginedialects.py
+++ b/src/lycheegauge/internal/protocol/enginedialects.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from lycheegauge import errors
-from lycheegauge.internal.protocol import maporders, nativedialect
+from lycheegauge.internal.protocol import bounds, maporders, nativedialect
 
 NONE = -1
 
@@ -70,8 +70,8 @@
     return _dialects[name]
 
 
-_COUNTS_ADAPTER = pydantic.TypeAdapter(tuple[int, ...])
-_EXPERTS_ADAPTER = pydantic.TypeAdapter(tuple[tuple[int, ...], ...])
+_COUNTS_ADAPTER = pydantic.TypeAdapter(tuple[bounds.Identifier, ...])
+_EXPERTS_ADAPTER = pydantic.TypeAdapter(tuple[tuple[bounds.Count, ...], ...])
 
 
 class ReportModel(nativedialect.Model):
@@ -79,18 +79,18 @@
 
     server: str
     group: str
-    epoch: int
-    rank: int
-    size: int
+    epoch: bounds.Identifier
+    rank: bounds.Index
+    size: bounds.Count
     is_open: bool
     is_busy: bool = False
-    pace: float = 1.0
-    step: int
-    map_version: int = 0
-    prepared_version: int = NONE
-    armed_version: int = NONE
-    armed_step: int = NONE
-    held_step: int = NONE
+    pace: bounds.Factor = 1.0
+    step: bounds.OptionalIdentifier
+    map_version: bounds.Identifier = 0
+    prepared_version: bounds.OptionalIdentifier = NONE
+    armed_version: bounds.OptionalIdentifier = NONE
+    armed_step: bounds.OptionalIdentifier = NONE
+    held_step: bounds.OptionalIdentifier = NONE
 
 
 @register_dialect("native")
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from lycheegauge import errors
-from lycheegauge.internal.protocol import controlcalls, roster, routetables
+from lycheegauge.internal.protocol import bounds, controlcalls, roster, routetables
 
 HEADERS = controlcalls.HeaderNames(
     request_id="Lycheegauge-Request-Id",
@@ -39,7 +39,7 @@
     """A service and its share of a route's requests."""
 
     service: str
-    weight: float = pydantic.Field(default=1.0, ge=0)
+    weight: bounds.Weight = 1.0
 
 
 class RouteModel(Model):
@@ -50,22 +50,22 @@
     path_prefix: str = pydantic.Field(pattern=r"^/(.*/)?$")
     services: tuple[WeightedServiceModel, ...] = pydantic.Field(min_length=1)
     repetition: routetables.Repetition
-    timeout_s: float = pydantic.Field(gt=0)
-    target_first_s: float = pydantic.Field(default=1.0, gt=0)
-    target_gap_s: float = pydantic.Field(default=1.0, gt=0)
-    priority: int = pydantic.Field(default=0, ge=0)
-    attempts_max: int = pydantic.Field(default=2, ge=1)
+    timeout_s: bounds.DurationS = pydantic.Field(gt=0)
+    target_first_s: bounds.DurationS = pydantic.Field(default=1.0, gt=0)
+    target_gap_s: bounds.DurationS = pydantic.Field(default=1.0, gt=0)
+    priority: bounds.Count = 0
+    attempts_max: bounds.Count = pydantic.Field(default=2, ge=1)
     open_to_all: bool = False
 
 
 class ExpertLayoutModel(Model):
     """The experts of a model whose groups run in lockstep."""
 
-    layers: int = pydantic.Field(ge=1)
-    experts: int = pydantic.Field(ge=1)
-    slots: int = pydantic.Field(ge=1)
-    copies: int = pydantic.Field(default=1, ge=1)
-    report_lag_s: float = pydantic.Field(default=0.0, ge=0, le=10)
+    layers: bounds.Count = pydantic.Field(ge=1)
+    experts: bounds.Count = pydantic.Field(ge=1)
+    slots: bounds.Count = pydantic.Field(ge=1)
+    copies: bounds.Count = pydantic.Field(default=1, ge=1)
+    report_lag_s: bounds.DurationS = pydantic.Field(default=0.0, le=10)
 
     def decode(self) -> routetables.ExpertLayout:
         """Converts the layout to its data class."""
@@ -76,9 +76,9 @@
     """A service in a route table."""
 
     name: str
-    cold_rate: float = pydantic.Field(default=0.0, ge=0)
+    cold_rate: bounds.Rate = 0.0
     experts: ExpertLayoutModel | None = None
-    connections_max: int = pydantic.Field(default=0, ge=0)
+    connections_max: bounds.Count = 0
 
     def decode(self) -> routetables.ServiceDeclaration:
         """Converts the service to its data class."""
@@ -95,13 +95,13 @@
 
     organisation: str
     keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: bounds.Count | None = None
 
 
 class RouteTableModel(Model):
     """A complete route table."""
 
-    version: int = pydantic.Field(ge=1)
+    version: bounds.Identifier = pydantic.Field(ge=1)
     routes: tuple[RouteModel, ...]
     services: tuple[ServiceModel, ...]
     key_holders: tuple[KeyHolderModel, ...] = ()
@@ -114,17 +114,17 @@
     service: str
     address: str
     availability_zone: str
-    born_ms: int = pydantic.Field(default=0, ge=0)
-    sequence: int = pydantic.Field(ge=0)
-    slots: int = pydantic.Field(default=0, ge=0)
-    cold_s: float = pydantic.Field(default=0.0, ge=0)
+    born_ms: bounds.Identifier = 0
+    sequence: bounds.Identifier
+    slots: bounds.Count = 0
+    cold_s: bounds.DurationS = 0.0
     leaving: bool = False
 
 
 class DepartureModel(Model):
     """The incarnation of a backend server that leaves."""
 
-    born_ms: int = pydantic.Field(default=0, ge=0)
+    born_ms: bounds.Identifier = 0
 
 
 def find_table_error(table: routetables.RouteTable) -> str:
