Answer every accepted request in a planned stop of an entry host

Cause: the stop closed idle connections once and then looked at running requests only. Requests in the accept queue, on a connection without a request yet, read in part, or arriving between the last look and the end were cut; a connection whose response had begun before SIGTERM was never told to close.

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -135,6 +135,8 @@
 
     def _admit(self) -> forwardrules.GivenUp | None:
         shared = self._shared
+        if shared.refuses_requests:
+            return shared.refuse(work.RefusalReason.STOPPING)
         if shared.index is None:
             return shared.refuse(work.RefusalReason.NO_ROUTE_TABLE)
         if not shared.view.lease.allows_start(clock.read_clock()):
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -109,6 +109,7 @@
         self.outcomes = requestoutcomes.RequestOutcomes()
         self._outcomes_logged_at = clock.read_clock()
         self.stopping = False
+        self.refuses_requests = False
         self.on_load_changed: collections.abc.Callable[[], None] = _do_nothing
         self._update_event = asyncio.Event()
         self._waiting_for_update = 0
@@ -121,7 +122,6 @@
 
     def handle(self, exchange: ingress.Exchange) -> None:
         """Starts the forwarding of one request."""
-        exchange.closes_connection = self.stopping
         request = forwardedrequest.ForwardedRequest(self, exchange)
         task = asyncio.create_task(request.run())
         self.running.add(task)
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -9,6 +9,7 @@
 from lycheegauge.internal import logs
 from lycheegauge.internal.coordination import members, rosterview
 from lycheegauge.internal.daemons import (
+    callerdrain,
     discoveryresponder,
     forwarder,
     lifecycle,
@@ -30,7 +31,6 @@
 ACCEPT_AFTER_STOP_S = 3.0
 """How long a stopping host still accepts callers that hold an older discovery answer,
 in seconds."""
-DRAIN_POLL_S = 0.05
 
 OK = 200
 NOT_FOUND = 404
@@ -141,13 +141,11 @@
 
     async def drain(self) -> None:
         """Leaves discovery, serves for a while longer and finishes running requests."""
-        self.forwarder.stopping = True
+        drain = callerdrain.CallerDrain(self.forwarder, self._ingress, self._callers)
+        drain.start()
         await self._pull_once()
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-        self._callers.stop_accepting()
-        self._ingress.close_idle()
-        while self.forwarder.running:
-            await asyncio.sleep(DRAIN_POLL_S)
+        await drain.finish()
 
     async def close(self) -> None:
         """Cancels all tasks and closes everything without waiting."""
--- a/src/lycheegauge/internal/transport/ingress.py
+++ b/src/lycheegauge/internal/transport/ingress.py
@@ -1,6 +1,9 @@
 """HTTP server for callers whose requests are forwarded unchanged."""
 
 import collections.abc
+import dataclasses
+import enum
+import socket
 import typing
 
 import tornado.http1connection
@@ -24,7 +27,8 @@
         arrived_at: When the request was completely read, in seconds.
         is_disconnected: Whether the caller has disconnected.
         is_started: Whether the response has been started.
-        closes_connection: Whether the connection is closed after the response.
+        closes_connection: Whether the connection is closed after the response; also
+            if the ingress is stopping when the response starts.
         is_close_delimited: Whether the end of the response is only marked by the end
             of its connection.
     """
@@ -35,6 +39,7 @@
         start: tornado.httputil.RequestStartLine,
         headers: tornado.httputil.HTTPHeaders,
         body: bytes,
+        connections: "CallerConnections",
     ) -> None:
         self.method = start.method
         self.target = start.path
@@ -44,6 +49,7 @@
         self.is_disconnected = False
         self.is_started = False
         self.closes_connection = False
+        self._connections = connections
         self.is_close_delimited = False
         self._accepts_chunks = start.version == "HTTP/1.1"
         self._connection: (
@@ -78,7 +84,7 @@
         self.is_started = True
         if is_close_delimited or self._must_end_by_closing(status, headers):
             self._detach()
-        if self.closes_connection:
+        if self.closes_connection or self._connections.is_stopping:
             headers["Connection"] = "close"
         line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
         self._write(lambda: self._connection.write_headers(line, headers))
@@ -98,15 +104,17 @@
         ):
             return
         self.is_close_delimited = True
+        stream = connection.detach()
+        self._connections.add_detached(stream)
         self._connection = closedelimited.CloseDelimitedResponse(
-            connection.detach(), self._handle_disconnect
+            stream, self._handle_disconnect
         )
 
     async def write(self, data: bytes) -> None:
         """Sends a chunk of the body; waits if the caller reads slowly."""
         sent = self._write(lambda: self._connection.write(data))
         stream = self._connection.stream
-        if sent is not None and stream is not None:
+        if sent is not None and stream is not None and not stream.closed():
             if len(stream._write_buffer) > MAX_UNSENT_BYTES:
                 try:
                     await sent
@@ -157,6 +165,91 @@
             callback()
 
 
+class Phase(enum.Enum):
+    """What a caller's connection is doing."""
+
+    IDLE = "idle"
+    READING = "reading"
+    ANSWERING = "answering"
+
+
+@dataclasses.dataclass(slots=True)
+class _CallerConnection:
+    """A connection that the HTTP server reads requests from.
+
+    Attributes:
+        request: The connection of the current request, or of the next one.
+        phase: What it is doing.
+        since: When that began, in seconds.
+    """
+
+    request: tornado.http1connection.HTTP1Connection
+    phase: Phase
+    since: float
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether part of a request has arrived that was not read yet."""
+        stream = self.request.stream
+        if stream.closed():
+            return False
+        if stream._read_buffer_size:
+            return True
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return bool(stream.socket.recv(1, flags))
+        except OSError:
+            return False
+
+
+class CallerConnections:
+    """The open connections of callers.
+
+    Attributes:
+        is_stopping: Whether each connection is closed after its next response.
+    """
+
+    def __init__(self) -> None:
+        self.is_stopping = False
+        self._connections: dict[object, _CallerConnection] = {}
+        self._detached: set[tornado.iostream.IOStream] = set()
+
+    def begin_request(
+        self, key: object, request: tornado.http1connection.HTTP1Connection
+    ) -> None:
+        """Records that a connection waits for its next request."""
+        now = clock.read_clock()
+        self._connections[key] = _CallerConnection(request, Phase.IDLE, now)
+
+    def set_phase(self, key: object, phase: Phase) -> None:
+        """Records what a connection does from now on."""
+        connection = self._connections.get(key)
+        if connection is not None:
+            connection.phase, connection.since = phase, clock.read_clock()
+
+    def remove(self, key: object) -> None:
+        """Removes a connection that is closed or detached."""
+        self._connections.pop(key, None)
+
+    def add_detached(self, stream: tornado.iostream.IOStream) -> None:
+        """Adds a connection that the HTTP server gave up before its response."""
+        self._detached = {item for item in self._detached if not item.closed()}
+        self._detached.add(stream)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether all connections are closed, also those without the HTTP server."""
+        return not self._connections and all(item.closed() for item in self._detached)
+
+    def close_idle(self, idle_s: float) -> None:
+        """Closes connections that have had no byte of a request for some time."""
+        before = clock.read_clock() - idle_s
+        for connection in list(self._connections.values()):
+            is_idle = connection.phase is Phase.IDLE and connection.since <= before
+            if is_idle and not connection.has_unread:
+                connection.request.close()
+
+
 Handler = collections.abc.Callable[[Exchange], None]
 
 
@@ -168,13 +261,13 @@
         body_limit: The size limit of a request body, in bytes.
 
     Attributes:
-        idle_connections: The connections that wait for the headers of a request.
+        connections: The open connections.
     """
 
     def __init__(self, handle: Handler, body_limit: int) -> None:
         self.handle = handle
         self.body_limit = body_limit
-        self.idle_connections: set[tornado.http1connection.HTTP1Connection] = set()
+        self.connections = CallerConnections()
 
     def start_request(
         self, server_conn: object, request_conn: tornado.httputil.HTTPConnection
@@ -182,26 +275,25 @@
         """Creates the reader of one request."""
         connection = typing.cast(tornado.http1connection.HTTP1Connection, request_conn)
         connection.stream.set_nodelay(True)
-        self.idle_connections.add(connection)
-        return _RequestReader(self, connection)
+        self.connections.begin_request(server_conn, connection)
+        return _RequestReader(self, server_conn, connection)
 
     def on_close(self, server_conn: object) -> None:
-        """Does nothing, as each exchange handles its own disconnection."""
-
-    def close_idle(self) -> None:
-        """Closes the connections that wait for the headers of a request."""
-        for connection in list(self.idle_connections):
-            connection.close()
-        self.idle_connections.clear()
+        """Removes the connection; an exchange handles its own disconnection."""
+        self.connections.remove(server_conn)
 
 
 class _RequestReader(tornado.httputil.HTTPMessageDelegate):
     """Reads one request."""
 
     def __init__(
-        self, ingress: Ingress, connection: tornado.http1connection.HTTP1Connection
+        self,
+        ingress: Ingress,
+        key: object,
+        connection: tornado.http1connection.HTTP1Connection,
     ) -> None:
         self._ingress = ingress
+        self._key = key
         self._connection = connection
         self._start: tornado.httputil.RequestStartLine | None = None
         self._headers = tornado.httputil.HTTPHeaders()
@@ -215,7 +307,7 @@
         headers: tornado.httputil.HTTPHeaders,
     ) -> None:
         """Stores the request line and headers."""
-        self._ingress.idle_connections.discard(self._connection)
+        self._ingress.connections.set_phase(self._key, Phase.READING)
         self._start = typing.cast(tornado.httputil.RequestStartLine, start_line)
         self._headers = headers
 
@@ -227,8 +319,14 @@
     def finish(self) -> None:
         """Passes the complete request to the handler, or responds with 413."""
         assert self._start is not None
+        connections = self._ingress.connections
+        connections.set_phase(self._key, Phase.ANSWERING)
         exchange = Exchange(
-            self._connection, self._start, self._headers, bytes(self._body)
+            self._connection,
+            self._start,
+            self._headers,
+            bytes(self._body),
+            connections,
         )
         if len(self._body) > self._ingress.body_limit:
             exchange.closes_connection = True
@@ -238,4 +336,3 @@
 
     def on_connection_close(self) -> None:
         """Discards a request that was not completely read."""
-        self._ingress.idle_connections.discard(self._connection)
--- a/src/lycheegauge/internal/transport/web.py
+++ b/src/lycheegauge/internal/transport/web.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import re
+import socket
 import sys
 import typing
 
@@ -57,6 +58,26 @@
             self._replace_bad_request(stream, self.write_malformed)
         super().handle_stream(stream, address)
 
+    def on_close(self, server_conn: object) -> None:
+        """Tells the application of a closed connection, as tornado does not."""
+        super().on_close(server_conn)
+        application = self.request_callback
+        if not isinstance(application, tornado.web.Application) and isinstance(
+            application, tornado.httputil.HTTPServerConnectionDelegate
+        ):
+            application.on_close(server_conn)
+
+    def accept_queued(self, listening: socket.socket) -> None:
+        """Accepts the connections that wait at a listening socket."""
+        while True:
+            try:
+                accepted, address = listening.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                return
+            self._handle_connection(accepted, address)
+
     def _replace_bad_request(
         self, stream: tornado.iostream.IOStream, write_malformed: ProblemWriter
     ) -> None:
@@ -122,8 +143,19 @@
         self._server.add_sockets(self._sockets)
         return f"{self._host}:{self._sockets[0].getsockname()[1]}"
 
+    def count_connections(self) -> int:
+        """Counts the open connections."""
+        return len(self._server._connections)
+
     def stop_accepting(self) -> None:
-        """Closes the listening socket; open connections stay open."""
+        """Closes the listening socket; open connections stay open.
+
+        Connections that the system has already established are accepted first, as
+        closing the socket would reset them.
+        """
+        for listening in self._sockets:
+            self._server.accept_queued(listening)
+        self._sockets = []
         self._server.stop()
 
     async def close(self) -> None:
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -9,7 +9,7 @@
 
 from lycheegauge import metrics, settings
 from lycheegauge.internal.coordination import rosterview
-from lycheegauge.internal.daemons import forwarder
+from lycheegauge.internal.daemons import callerdrain, forwarder
 from lycheegauge.internal.protocol import controlcalls, freshness, nativedialect, roster
 from lycheegauge.internal.transport import clock, ingress, web
 
@@ -110,6 +110,7 @@
         self.forwarder = forwarder.Forwarder(part, self._view, dialect, self._counters)
         listened = ingress.Ingress(self.forwarder.handle, part.limits.body_bytes)
         self._listener = web.Listener(part.caller_address, listened, part.limits)
+        self._drain = callerdrain.CallerDrain(self.forwarder, listened, self._listener)
         self.address = ""
 
     async def start(self):
@@ -134,6 +135,16 @@
         self.forwarder.share.apply_share(whole, now)
         self.address = await self._listener.start()
 
+    def start_drain(self):
+        self._drain.start()
+
+    async def finish_drain(self):
+        """Ends the service of callers, as a planned stop does."""
+        await self._drain.finish()
+
+    def count_connections(self):
+        return self._listener.count_connections()
+
     async def close(self):
         await self.forwarder.close()
         await self._listener.close()
