Heed what a backend server's answers say: that it leaves, and when it wants requests

Each answer's statements are read in one place, whatever the answer is, and hold for the incarnation that made them. A leaving server gets no new request from the host at once; the host reports it with its pulls until the log has recorded the departure, so other hosts know within a few pulls and restarts of any process don't forget it. A waiting server gets none until its time ends, plus a random part so that hosts don't return together, and then one request at a time until it answers otherwise. A request that was connecting meanwhile goes elsewhere. Times are bounded (60 s), unreadable ones count 1 s and are logged. When all servers wait, callers are refused at once with the first time at which one takes requests, spread over half a second.

The waits of other hosts are not shared, as each host is asked for itself. An engine's answers to its agent are not requests and are not read for these statements.

--- a/src/lycheegauge/internal/coordination/serverlimits.py
+++ b/src/lycheegauge/internal/coordination/serverlimits.py
@@ -6,6 +6,7 @@
 each slot belongs to the host whose interval (``hostshares``) its point lies in.
 """
 
+import collections.abc
 import dataclasses
 import math
 
@@ -99,7 +100,7 @@
         limit = self._limits.get(server)
         return 1.0 / limit.rate if limit is not None else 0.0
 
-    def remove_absent(self, servers: set[str]) -> None:
+    def remove_absent(self, servers: collections.abc.Set[str]) -> None:
         """Removes servers that are not among ``servers``."""
         for server in self._limits.keys() - servers:
             del self._limits[server]
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -237,6 +237,10 @@
                 # This process may have been paused while it connected.
                 self._shared.pool.release(chosen.incarnation, connection)
                 return self._give_up(work.RefusalReason.LEASE_EXPIRED)
+            if not self._shared.may_send(chosen):
+                # Its answer to another request came while this one connected.
+                self._shared.pool.release(chosen.incarnation, connection)
+                continue
             given_up = await self._attempt(chosen, connection)
             if given_up is None or not self._can_try_another_server(given_up):
                 return given_up
@@ -300,7 +304,7 @@
             self._deadline,
             self._splitter.last_id if self._splitter else "",
         )
-        shared.note_sent(server.name)
+        shared.note_sent(server)
         self._tried_servers.add(server.name)
         self._server = server.name
         self._suspicions = shared.crashdetector.parts.list_suspicions(self._parts)
@@ -347,7 +351,7 @@
         except errors.BorderError as error:
             return self._give_up(work.RefusalReason.BAD_REQUEST, str(error))
         finally:
-            shared.note_ended(server.name)
+            shared.note_ended(server)
             if is_complete:
                 shared.pool.release(server.incarnation, connection)
             else:
@@ -371,7 +375,7 @@
         now = clock.read_clock()
         shared.progress.note_part(self._service, server.name, now)
         shared.crashdetector.record_alive(server, self._sent_at, now)
-        shared.note_limit(server, head.get(self._names.server_limit))
+        shared.note_statement(server, head)
         return head
 
     def _make_head(self, server: roster.ServerListing) -> upstream.RequestHead:
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -24,7 +24,7 @@
     rosterview,
     routeindex,
     serverchoice,
-    serverlimits,
+    serverstatements,
     waitforecast,
 )
 from lycheegauge.internal.daemons import forwardedrequest, loadsharing, silencewatch
@@ -69,6 +69,10 @@
 
 LIMIT_RETRY_AFTER_MAX_S = 2.0
 
+WAIT_RETRY_AFTER_MIN_S = 0.1
+RETRY_SPREAD_S = 0.5
+"""Callers that are told the same time to come back are spread over this, in seconds."""
+
 START_WAITERS_MAX = 256
 """Maximum number of requests that wait while the host starts; each holds its body in
 memory."""
@@ -100,7 +104,7 @@
         self.random_source = random.Random()
         self.choice = serverchoice.ServerChoice(self.random_source)
         self.cold_limiter = coldratelimit.ColdRateLimiter()
-        self.limits = serverlimits.ServerLimits()
+        self.statements = serverstatements.ServerStatements(self.random_source)
         self.share = hostshares.HostShareHolder(
             part.repeats.window_s + repeatbudget.TRANSIT_S
         )
@@ -229,7 +233,7 @@
         self.progress.drop_silent(clock.read_clock() - PROGRESS_RETENTION_S)
         present = {server.incarnation for server in self.view.servers.values()}
         self.pool.close_stale(present)
-        self.limits.remove_absent(present)
+        self.statements.remove_absent(present, clock.read_clock())
 
     def log_outcomes(self) -> None:
         """Logs how the requests of each route ended since the last such line."""
@@ -316,8 +320,16 @@
 
     def has_server(self, service: str) -> bool:
         """Tells whether any server of a service may receive work."""
-        usable = self.view.list_usable(clock.read_clock())
-        return any(server.service == service for server in usable)
+        return bool(self._list_usable(service, clock.read_clock()))
+
+    def _list_usable(self, service: str, now: float) -> list[roster.ServerListing]:
+        """Lists a service's servers, without those that said that they leave."""
+        return [
+            server
+            for server in self.view.list_usable(now)
+            if server.service == service
+            and not self.statements.is_leaving(server.incarnation)
+        ]
 
     def choose_server(
         self, service: str, tried: set[str]
@@ -326,16 +338,22 @@
         assert self.index is not None
         now = clock.read_clock()
         declared = self.index.services[service]
-        usable = [s for s in self.view.list_usable(now) if s.service == service]
+        usable = self._list_usable(service, now)
         if not usable:
             return self.refuse(work.RefusalReason.NO_BACKEND_SERVER)
+        willing = [s for s in usable if self.statements.may_send(s.incarnation, now)]
+        if not willing:
+            return self._refuse_by_wait(usable, now)
+        usable = willing
         usable = [s for s in usable if self.can_connect(s, declared.connections_max)]
         if not usable:
             return self.refuse(work.RefusalReason.BACKEND_SERVERS_FULL)
         usable = [server for server in usable if not server.silent] or usable
         interval = self.share.get_interval(now)
         within_limits = [
-            s for s in usable if self.limits.may_send(s.incarnation, interval, now)
+            s
+            for s in usable
+            if self.statements.is_within_limit(s.incarnation, interval, now)
         ]
         if not within_limits:
             return self._refuse_by_limit(usable)
@@ -347,14 +365,16 @@
         assert chosen is not None
         if self._is_cold(chosen, declared, now):
             self.cold_limiter.take(chosen.name)
-        self.limits.take(chosen.incarnation)
+        self.statements.take(chosen.incarnation)
         return chosen
 
     def _refuse_by_limit(
         self, servers: list[roster.ServerListing]
     ) -> forwardrules.GivenUp:
         """Refuses a request until one of the servers takes another one."""
-        shortest_s = min(self.limits.get_interval_s(s.incarnation) for s in servers)
+        shortest_s = min(
+            self.statements.get_limit_interval_s(s.incarnation) for s in servers
+        )
         after_s = min(LIMIT_RETRY_AFTER_MAX_S, shortest_s)
         return forwardrules.give_up(
             work.RefusalReason.SERVER_LIMIT,
@@ -363,26 +383,71 @@
             f"{len(servers)} servers state a limit on their requests",
         )
 
-    def note_limit(self, server: roster.ServerListing, header: str) -> None:
-        """Records the limit that a server's answer states, or that it states none."""
+    def _refuse_by_wait(
+        self, servers: list[roster.ServerListing], now: float
+    ) -> forwardrules.GivenUp:
+        """Refuses a request until the first of the servers wants requests again."""
+        shortest_s = min(
+            self.statements.get_wait_s(s.incarnation, now) for s in servers
+        )
+        after_s = max(WAIT_RETRY_AFTER_MIN_S, shortest_s)
+        after_s += self.random_source.uniform(0.0, RETRY_SPREAD_S)
+        return forwardrules.give_up(
+            work.RefusalReason.SERVER_WAIT,
+            work.RunState.NOT_RUN,
+            after_s,
+            f"{len(servers)} servers want no request for {shortest_s:.2f} s or more",
+        )
+
+    def note_statement(
+        self, server: roster.ServerListing, head: upstream.ResponseHead
+    ) -> None:
+        """Records what a server's answer states about the server."""
         now = clock.read_clock()
-        rate = serverlimits.parse_limit(header)
+        names = self.dialect.headers
+        statement = serverstatements.read_statement(
+            head.status,
+            head.get(names.server_limit),
+            head.get(names.server_leaving),
+            head.get(names.retry_after),
+        )
         interval = self.share.get_interval(now)
-        if self.limits.note_answer(server.incarnation, rate, interval, now):
+        news = self.statements.note_answer(server, statement, interval, now)
+        if news.is_new_limit:
             loguru.logger.info(
                 "limit stated by a backend server",
                 server=server.name,
-                requests_per_s=rate,
+                requests_per_s=statement.limit,
+            )
+        if news.is_new_leaving:
+            loguru.logger.info(
+                "a backend server says that it leaves",
+                server=server.name,
+                born_ms=server.born_ms,
             )
+        if statement.wait_s:
+            loguru.logger.info(
+                "a backend server wants no requests",
+                server=server.name,
+                wait_s=statement.wait_s,
+                unreadable=statement.unreadable[:64],
+            )
+
+    def may_send(self, server: roster.ServerListing) -> bool:
+        """Tells whether a chosen server still wants requests."""
+        now = clock.read_clock()
+        return self.statements.may_send(server.incarnation, now)
 
-    def note_sent(self, server: str) -> None:
+    def note_sent(self, server: roster.ServerListing) -> None:
         """Records that a request is sent to a server."""
-        self.choice.note_sent(server)
+        self.choice.note_sent(server.name)
+        self.statements.note_sent(server.incarnation)
         self.on_load_changed()
 
-    def note_ended(self, server: str) -> None:
+    def note_ended(self, server: roster.ServerListing) -> None:
         """Records that a request at a server ended."""
-        self.choice.note_ended(server)
+        self.choice.note_ended(server.name)
+        self.statements.note_ended(server.incarnation)
         self.on_load_changed()
 
     def note_gap(self, service: str, gap_s: float) -> None:
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -116,6 +116,17 @@
             lambda: self.forwarder.share.get_fraction(clock.read_clock()),
         )
 
+        self.metrics.register_gauge(
+            "lycheegauge_leaving_backend_servers",
+            "Backend servers whose answers said that they leave",
+            self.forwarder.statements.count_leaving,
+        )
+        self.metrics.register_gauge(
+            "lycheegauge_waiting_backend_servers",
+            "Backend servers that asked for a time without requests",
+            lambda: self.forwarder.statements.count_waiting(clock.read_clock()),
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether this host can serve callers now."""
@@ -224,6 +235,7 @@
             self.forwarder.crashdetector.attach_reports(pull.message),
             gaps=self.forwarder.pop_gaps(),
             demand=self.forwarder.share.make_demand(clock.read_clock()),
+            departures=self.forwarder.statements.list_unreported(),
         )
         try:
             reply = await self._client.pull(message)
@@ -236,6 +248,8 @@
             own_interval_s = self.part.roster.pull_interval_s
             self._pull_interval_s = reply.pull_interval_s or own_interval_s
             self.forwarder.crashdetector.apply_reply(message, reply, now)
+            if reply.has_recorded:
+                self.forwarder.statements.note_reported(message.departures)
             self.forwarder.share.apply_share(reply.share, now)
             self._log_share()
         self.forwarder.apply_changes(changed)
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -280,6 +280,7 @@
                 request.log_host, request.log_host_incarnation, now
             )
         has_recorded = await self._record_crashes(request)
+        has_recorded = await self._record_departures(request) and has_recorded
         await self._proofs.confirm_leadership(now)
         proof = self._proofs.issue_proof(self.routing.revision, log_time_s=0.0)
         if proof is None or not self.task.is_leader:
@@ -402,6 +403,27 @@
             )
         return True
 
+    async def _record_departures(self, request: roster.RosterPull) -> bool:
+        """Commits that servers leave; returns whether all of them are committed."""
+        for departure in request.departures:
+            if self.routing.has_departed(departure):
+                continue
+            change = changes.NoteDeparture(departure.server, departure.born_ms)
+            outcome = await self.task.propose(change)
+            if isinstance(outcome, result.Failure):
+                loguru.logger.warning(
+                    "change not committed",
+                    change=type(change).__name__,
+                    reason=str(outcome.failure()),
+                )
+                return False
+            loguru.logger.info(
+                "a backend server leaves, as its answers say",
+                server=departure.server,
+                born_ms=departure.born_ms,
+            )
+        return True
+
     def _make_reply(
         self,
         request: roster.RosterPull,
--- a/src/lycheegauge/internal/protocol/controlcalls.py
+++ b/src/lycheegauge/internal/protocol/controlcalls.py
@@ -93,6 +93,7 @@
         prompt_parts: The parts of the request's prompt.
         server_limit: In an answer, the requests per second that its server takes from
             all hosts together.
+        server_leaving: In an answer, whether its server leaves: ``1``.
     """
 
     request_id: str
@@ -104,6 +105,8 @@
     last_event_id: str
     prompt_parts: str
     server_limit: str
+    server_leaving: str
+    retry_after: str = "Retry-After"
 
 
 class Dialect(typing.Protocol):
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -20,6 +20,7 @@
     last_event_id="Last-Event-Id",
     prompt_parts="Lycheegauge-Prompt-Parts",
     server_limit="Lycheegauge-Server-Limit",
+    server_leaving="Lycheegauge-Server-Leaving",
 )
 
 AUTHORIZATION_SCHEME = "Bearer "
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -152,7 +152,8 @@
     ``log_host`` is the address of a log host that pulls, ``log_host_incarnation`` names
     its process start, and ``silent_servers`` are those that it can't reach while it
     coordinates the expert maps. ``demand`` is that of an entry host for its share of
-    the limits of all hosts.
+    the limits of all hosts. ``departures`` are servers whose answers said that they
+    leave; they are resent like crashes.
     """
 
     host: HostListing | None
@@ -172,6 +173,7 @@
     part_crashes: tuple[changes.ReportPartCrash, ...] = ()
     cleared_parts: tuple[changes.ClearPart, ...] = ()
     part_list_version: int = 0
+    departures: tuple[Departure, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/protocol/work.py
+++ b/src/lycheegauge/internal/protocol/work.py
@@ -23,6 +23,7 @@
     LEASE_EXPIRED = "lease_expired"
     COLD_LIMIT = "cold_limit"
     SERVER_LIMIT = "server_limit"
+    SERVER_WAIT = "server_wait"
     OVERLOADED = "overloaded"
     QUEUE_FULL = "queue_full"
     DEADLINE_EXCEEDED = "deadline_exceeded"
--- a/tests/processes/forwarding.feature
+++ b/tests/processes/forwarding.feature
@@ -34,6 +34,13 @@
     Then requests that may be repeated are answered by the servers that still respond
     And a request that may not be repeated is sent once
 
+  # Guards against a server that had left and is used again after a restart.
+  Scenario: A server whose answers say that it leaves gets no request from any host
+    Given a backend server that says that it leaves in its answers only
+    Then after one such answer no gateway sends it a request
+    And it gets none after a kill of all log hosts and gateways
+    And it gets requests again as a new incarnation
+
   Scenario: Any host tells callers where to connect
     Then log hosts and gateways list the running gateways
     And a killed gateway is no longer listed anywhere soon afterwards
--- a/tests/steps/forwardingfleet.py
+++ b/tests/steps/forwardingfleet.py
@@ -43,6 +43,65 @@
     assert fleet.request("/safe/a", "after").status == 200
 
 
+@behave.given("a backend server that says that it leaves in its answers only")
+def make_leaving(context):
+    context.leaving = context.fleet.servers[0]
+    context.leaving.says_leaving = True
+
+
+def request_from_all(fleet, name, count=20):
+    for number in range(count):
+        for gateway in range(len(fleet.gateways)):
+            request_id = f"{name}-{number}-{gateway}"
+            answer = fleet.request("/safe/a", request_id, gateway=gateway)
+            assert answer.status == 200, answer
+
+
+@behave.then("after one such answer no gateway sends it a request")
+def check_leaving(context):
+    fleet, leaving = context.fleet, context.leaving
+
+    def ask_first_gateway():
+        fleet.request("/safe/a", f"first-{time.monotonic()}", gateway=0)
+        return leaving.arrivals
+
+    processes.wait_until(ask_first_gateway, "the leaving server answers")
+    # The documented time within which the other hosts know.
+    time.sleep(1.0)
+    before = len(leaving.arrivals)
+    request_from_all(fleet, "leaving")
+    assert len(leaving.arrivals) == before
+
+
+@behave.then("it gets none after a kill of all log hosts and gateways")
+def check_leaving_after_kill(context):
+    fleet, leaving = context.fleet, context.leaving
+    for name in list(fleet.processes):
+        fleet.stop(name)
+    before = len(leaving.arrivals)
+    for number in range(len(fleet.control_hosts)):
+        fleet.start_control(number)
+    for number in range(len(fleet.gateways)):
+        fleet.start_gateway(number)
+    fleet.wait_until_served()
+    request_from_all(fleet, "restarted")
+    assert len(leaving.arrivals) == before
+
+
+@behave.then("it gets requests again as a new incarnation")
+def check_new_incarnation(context):
+    fleet, server = context.fleet, context.leaving
+    server.says_leaving = False
+    server.born_ms, server.sequence = server.born_ms + 1, 0
+    before = len(server.arrivals)
+
+    def is_used():
+        fleet.request("/safe/a", f"again-{time.monotonic()}")
+        return len(server.arrivals) > before
+
+    processes.wait_until(is_used, "the new incarnation gets requests")
+
+
 @behave.then("safe, unsafe and streamed requests receive complete responses")
 def check_answers(context):
     fleet = context.fleet
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -45,6 +45,7 @@
         self.is_unresponsive = False
         self.writers = []
         self.leaving = False
+        self.says_leaving = False
         self.sequence = 0
         self.born_ms = time.time_ns() // 1_000_000
         self.loop = asyncio.new_event_loop()
@@ -152,8 +153,9 @@
             return
         if not target.startswith("/stream/"):
             body = self.name.encode()
+            leaving = "Lycheegauge-Server-Leaving: 1\r\n" if self.says_leaving else ""
             writer.write(
-                f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+                f"HTTP/1.1 200 OK\r\n{leaving}Content-Length: {len(body)}\r\n"
                 f"Lycheegauge-Request-Id: {request_id}\r\n\r\n".encode()
                 + body
             )
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -135,6 +135,10 @@
         self.forwarder.share.apply_share(whole, now)
         self.address = await self._listener.start()
 
+    def settle(self):
+        """Ends the time after the start in which requests wait for updates."""
+        self.forwarder._settled_at = clock.read_clock()
+
     def start_drain(self):
         self._drain.start()
 
