Start background tasks again that failed unexpectedly

One unexpected error in a loop of a daemon ended that loop for good: an entry host whose pull raised anything but a known error listened on, never pulled again and refused everything once its lease had run out; a log line told the operator to restart it. One malformed message could so take all entry hosts out of service.

A failed task is now logged and started again after 0.1 s, doubling up to 5 s.

--- a/src/lycheegauge/internal/daemons/lifecycle.py
+++ b/src/lycheegauge/internal/daemons/lifecycle.py
@@ -7,6 +7,13 @@
 import loguru
 
 from lycheegauge import errors
+from lycheegauge.internal.transport import clock
+
+RESTART_PAUSE_S = 0.1
+"""Pause before a failed background task is started again, in seconds. It doubles with
+each further failure."""
+
+RESTART_PAUSE_MAX_S = 5.0
 
 EXIT_DONE = 0
 EXIT_UNAVAILABLE = 3
@@ -78,21 +85,33 @@
 def start_task(
     run: typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]],
 ) -> "asyncio.Task[None]":
-    """Starts a task that runs as long as its daemon; logs an error if it fails.
+    """Starts a task that runs as long as its daemon.
 
-    Nothing awaits such a task before the daemon closes, so its failure would
-    otherwise go unnoticed.
+    After an unexpected error it is started again: a daemon without one of its tasks
+    would go on to listen and no longer do its work.
     """
-    task = asyncio.create_task(run())
-    task.add_done_callback(_log_failure)
-    return task
+    return asyncio.create_task(_keep_running(run))
 
 
-def _log_failure(task: "asyncio.Task[None]") -> None:
-    if not task.cancelled() and task.exception() is not None:
-        loguru.logger.opt(exception=task.exception()).error(
-            "a background task failed; restart the process", task=task.get_name()
-        )
+async def _keep_running(
+    run: typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]],
+) -> None:
+    pause_s = RESTART_PAUSE_S
+    while True:
+        started_at = clock.read_clock()
+        try:
+            await run()
+            return
+        except Exception as error:
+            if clock.read_clock() - started_at > RESTART_PAUSE_MAX_S:
+                pause_s = RESTART_PAUSE_S
+            loguru.logger.opt(exception=error).error(
+                "a background task failed and is started again",
+                task=getattr(run, "__qualname__", repr(run)),
+                pause_s=pause_s,
+            )
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, RESTART_PAUSE_MAX_S)
 
 
 def log_reload() -> None:
