Tell late copies of a server's answer from the answer to the next request

A server may send a second copy of its answer, late, when its connection carries the next request. Copies were told by the request's id only, so a copy without one was taken for the next answer: the next caller got the first one's body, and after a copied refusal a request that may run once was sent on although its server ran it.

On a connection on which answers name their request, a success without a name now fails the attempt. Refusals and errors often don't name it; the connection is not used for a request that may run once after one, as a copy of it could not be told from the next answer.

Left: engines' answers to their agents have no ids, so a late copy of one would be taken for the next (docs/promises.md).

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -26,6 +26,7 @@
 
 OK = 200
 REDIRECT_MIN = 300
+CLIENT_ERROR_MIN = 400
 EVENT_STREAM_TYPE = "text/event-stream"
 BUFFERED_BODY_MAX_BYTES = 262_144
 """A non-streamed response up to this size is buffered completely before it is
@@ -225,7 +226,9 @@
                 return refusal
             try:
                 connection = await self._shared.pool.acquire(
-                    chosen.incarnation, chosen.address
+                    chosen.incarnation,
+                    chosen.address,
+                    self._route.repetition.is_idempotent,
                 )
             except errors.PeerUnreachableError as error:
                 connect_failures += 1
@@ -316,7 +319,7 @@
             was_run, self._may_have_run = self._may_have_run, True
             self._runs += 1
             head = await self._read_head(server, connection)
-            self._check_response(server, head)
+            self._check_response(server, head, connection)
             verdict = self._classify(head)
             if verdict is forwardrules.Verdict.NOT_RUN:
                 self._may_have_run = was_run
@@ -403,13 +406,26 @@
         return upstream.RequestHead(exchange.method, exchange.target, forwarded_headers)
 
     def _check_response(
-        self, server: roster.ServerListing, head: upstream.ResponseHead
+        self,
+        server: roster.ServerListing,
+        head: upstream.ResponseHead,
+        connection: upstream.UpstreamConnection,
     ) -> None:
-        """Checks that the response belongs to this request."""
+        """Checks that the response belongs to this request.
+
+        A server may send a second copy of its answer to the request before, and may
+        leave out the request's id in refusals and errors.
+        """
         response_id = head.get(self._names.request_id)
         if response_id and self._request_id and response_id != self._request_id:
             message = f"the answer is for another request, {response_id}"
             raise errors.BackendServerFailedError(message, "read answer")
+        is_named, is_error = bool(response_id), head.status >= CLIENT_ERROR_MIN
+        if connection.names_requests and not (is_named or is_error):
+            message = "the answer names no request, unlike those before it"
+            raise errors.BackendServerFailedError(message, "read answer")
+        connection.names_requests |= is_named
+        connection.is_ambiguous = is_error and not is_named
         self._shared.choice.note_success(server.name)
 
     def _classify(self, head: upstream.ResponseHead) -> forwardrules.Verdict:
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -86,12 +86,20 @@
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """One connection, which carries one request at a time."""
+    """One connection, which carries one request at a time.
+
+    Attributes:
+        names_requests: Whether an answer on it named its request.
+        is_ambiguous: Whether a second copy of its last answer could not be told from
+            the next answer.
+    """
 
     def __init__(self) -> None:
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.request_count = 0
+        self.names_requests = False
+        self.is_ambiguous = False
         self._codec = h11.Connection(h11.CLIENT)
         self._method = ""
         self._transport: asyncio.Transport | None = None
@@ -335,13 +343,21 @@
         """Counts the open connections to a server, busy and idle."""
         return len(self._open_connections.get(key, ()))
 
-    async def acquire(self, key: str, address: str) -> UpstreamConnection:
+    async def acquire(
+        self, key: str, address: str, allows_ambiguous: bool = True
+    ) -> UpstreamConnection:
         """Returns an idle connection, or opens a new one.
 
+        Args:
+            key: Identifies the server.
+            address: The server's address.
+            allows_ambiguous: Whether a connection will do on which the answer may be
+                a second copy of the one before.
+
         Raises:
             errors.PeerUnreachableError: No connection could be opened in time.
         """
-        idle = self._pop_idle(key)
+        idle = self._pop_idle(key, allows_ambiguous)
         if idle is not None:
             return idle
         return await self.connect(key, address)
@@ -396,11 +412,13 @@
         """Closes all idle connections."""
         self.close_stale(())
 
-    def _pop_idle(self, key: str) -> UpstreamConnection | None:
+    def _pop_idle(self, key: str, allows_ambiguous: bool) -> UpstreamConnection | None:
         connections = self._idle_connections.get(key, [])
         now = clock.read_clock()
-        while connections:
-            connection = connections.pop()
+        for connection in reversed(list(connections)):
+            if connection.is_ambiguous and not allows_ambiguous:
+                continue
+            connections.remove(connection)
             if _is_reusable(connection, now):
                 return connection
             connection.abort()
--- /dev/null
+++ b/tests/steps/foreignanswers.py
@@ -0,0 +1,99 @@
+import asyncio
+
+import behave
+from support import gatewayhost
+
+REFUSAL = b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def make_answer(request_id, body, names_request=True):
+    name = f"Lycheegauge-Request-Id: {request_id}\r\n" if names_request else ""
+    head = f"HTTP/1.1 200 OK\r\n{name}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+class RepeatingServer(gatewayhost.ScriptedServer):
+    """Sends a copy of a connection's first answer before the answer to its second.
+
+    If the copy is a refusal, the first request of all is refused.
+    """
+
+    def __init__(self, copy, runs, names_requests=True):
+        super().__init__(self.reply)
+        self.copy = copy
+        self.runs = runs
+        self.names_requests = names_requests
+        self.first_answers = {}
+
+    def reply(self, fields, target):
+        request_id = fields["lycheegauge-request-id"]
+        connection = asyncio.current_task()
+        is_refused = self.copy == REFUSAL and not self.first_answers
+        if is_refused:
+            answer = REFUSAL
+        else:
+            self.runs.append(request_id)
+            body = request_id.encode()
+            answer = make_answer(request_id, body, self.names_requests)
+        late = b""
+        if connection not in self.first_answers:
+            self.first_answers[connection] = answer
+        elif self.copy != REFUSAL or self.first_answers[connection] == REFUSAL:
+            late, self.copy = self.copy or b"", None
+        return gatewayhost.Reply(late + answer)
+
+
+COPIES = {
+    "an answer with its request's id": make_answer("first", b"first"),
+    "an answer without its request's id": make_answer("first", b"first", False),
+    "a refusal without its request's id": REFUSAL,
+}
+
+
+@behave.given(
+    "a server that sends a second copy of {copy} when the next request arrives"
+)
+def make_repeating(context, copy):
+    context.runs = []
+    context.servers = [RepeatingServer(COPIES[copy], context.runs)]
+
+
+@behave.given("a server whose answers never name their request")
+def make_nameless(context):
+    context.runs = []
+    context.servers = [RepeatingServer(None, context.runs, names_requests=False)]
+
+
+@behave.when("a caller sends two requests that may run once, one after the other")
+def send_two(context):
+    async def send():
+        host = gatewayhost.GatewayHost(context.servers, "unsafe", attempts_max=3)
+        await host.start()
+        try:
+            return [
+                await gatewayhost.call(
+                    host.address, headers=[("Lycheegauge-Request-Id", name)]
+                )
+                for name in ("first", "second")
+            ]
+        finally:
+            await host.close()
+
+    context.received = asyncio.run(send())
+
+
+@behave.then("the second caller does not get the first one's answer")
+def check_own_answer(context):
+    first, second = context.received
+    assert first.status == 503 or first.body == b"first", first
+    assert second.status == 502 or second.body == b"second", second
+
+
+@behave.then("no request ran twice")
+def check_runs(context):
+    assert len(set(context.runs)) == len(context.runs), context.runs
+
+
+@behave.then("both requests are answered with their own answer")
+def check_both(context):
+    assert [item.body for item in context.received] == [b"first", b"second"]
