Don't reuse a connection after a nameless answer for requests that may run once

What can't be told from the next answer is a copy of a nameless one, whatever its status. So only that decides, and requests that may run once go to another connection.

Left: a request that may be repeated can still get a copy of a nameless answer; servers of the platform name all answers but refusals, and after a refusal a repeat does no harm.

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -26,7 +26,6 @@
 
 OK = 200
 REDIRECT_MIN = 300
-CLIENT_ERROR_MIN = 400
 EVENT_STREAM_TYPE = "text/event-stream"
 BUFFERED_BODY_MAX_BYTES = 262_144
 """A non-streamed response up to this size is buffered completely before it is
@@ -413,19 +412,14 @@
     ) -> None:
         """Checks that the response belongs to this request.
 
-        A server may send a second copy of its answer to the request before, and may
-        leave out the request's id in refusals and errors.
+        A server may send a second copy of its answer to the request before. If it
+        leaves out the request's id, the copy can't be told from the next answer.
         """
         response_id = head.get(self._names.request_id)
         if response_id and self._request_id and response_id != self._request_id:
             message = f"the answer is for another request, {response_id}"
             raise errors.BackendServerFailedError(message, "read answer")
-        is_named, is_error = bool(response_id), head.status >= CLIENT_ERROR_MIN
-        if connection.names_requests and not (is_named or is_error):
-            message = "the answer names no request, unlike those before it"
-            raise errors.BackendServerFailedError(message, "read answer")
-        connection.names_requests |= is_named
-        connection.is_ambiguous = is_error and not is_named
+        connection.is_ambiguous = not response_id
         self._shared.choice.note_success(server.name)
 
     def _classify(self, head: upstream.ResponseHead) -> forwardrules.Verdict:
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -89,7 +89,6 @@
     """One connection, which carries one request at a time.
 
     Attributes:
-        names_requests: Whether an answer on it named its request.
         is_ambiguous: Whether a second copy of its last answer could not be told from
             the next answer.
     """
@@ -98,7 +97,6 @@
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.request_count = 0
-        self.names_requests = False
         self.is_ambiguous = False
         self._codec = h11.Connection(h11.CLIENT)
         self._method = ""
--- a/tests/steps/foreignanswers.py
+++ b/tests/steps/foreignanswers.py
@@ -55,7 +55,8 @@
 )
 def make_repeating(context, copy):
     context.runs = []
-    context.servers = [RepeatingServer(COPIES[copy], context.runs)]
+    names_requests = "without" not in copy
+    context.servers = [RepeatingServer(COPIES[copy], context.runs, names_requests)]
 
 
 @behave.given("a server whose answers never name their request")
