Let a gateway earn its retry before the test breaks a stream

Traced with the gateway's log: the retry was refused, "earned retries 0.00, slack left 0.00, fraction of the slack 0.462". The first election of the log was split, so its leader had term 2 and could not know that no leader had granted shares before; it gave the fractions without the window before them, and within 11 s of the start only earned retries are allowed. That is the budget's rule, not a fault of the stream; the precondition waited for the share only. The test now sends six requests first, which earn one retry. No check is changed.

--- a/tests/steps/forwardingfleet.py
+++ b/tests/steps/forwardingfleet.py
@@ -10,6 +10,7 @@
 from support import forwardingfleet, processes
 
 LEASE_S = 2.5
+REQUESTS_PER_RETRY = 5
 
 
 @behave.given("a forwarding deployment of three log hosts and two gateways")
@@ -141,6 +142,10 @@
 )
 def check_resumed(context):
     fleet = context.fleet
+    # Until a window after the log's start, a gateway may only resend what its own
+    # requests have earned: here a fifth of a request each.
+    for number in range(REQUESTS_PER_RETRY + 1):
+        assert fleet.request("/safe/a", f"earn-{number}").status == 200
     fleet.servers[0].break_at_event = 7
     for number in range(30):
         check_stream(fleet.request("/stream/a", f"s{number}"))
