Grant shares of the limits without looking at all hosts each time

The leader of the log answers each pull of an entry host with a grant, and each grant added up all hosts: 101 us with 40 hosts, 1,085 us with 480, so their cost grew with the square of the number of hosts. On hosts with a third of a core that is time missing for heartbeats.

Sums and positions are now kept and computed anew 20 times a second. An expired grant counts as in use up to 0.05 s longer, which errs on the safe side; a position may be that old, as it could be before between two pulls of different hosts.

--- a/src/lycheegauge/internal/coordination/sharegrants.py
+++ b/src/lycheegauge/internal/coordination/sharegrants.py
@@ -14,6 +14,7 @@
 
 import collections
 import dataclasses
+import math
 
 from lycheegauge.internal.protocol import roster
 
@@ -34,6 +35,11 @@
 GATHERING_S = 0.6
 """How long the first leader of a log waits for the demands of all hosts, in seconds."""
 
+REVIEW_INTERVAL_S = 0.05
+"""How often all holders are looked at, in seconds: expired grants, sums and positions.
+A grant itself then costs the same with any number of hosts. Until its expiry is seen, a
+grant counts as in use, which errs on the safe side."""
+
 SAMPLE_INTERVAL_S = 0.25
 """Resolution of the history of what was in use, in seconds."""
 
@@ -87,6 +93,10 @@
         waits_s = GATHERING_S if is_first else lease_s + CLOCK_MARGIN_S
         self._recovered_at = started_at + waits_s
         self._holders: dict[str, _Holder] = {}
+        self._reviewed_at = -math.inf
+        self._used_total = 0.0
+        self._weight_total = 0.0
+        self._positions: dict[str, float] = {}
         self._window_s = 0.0
         # What was in use before is unknown unless there was no leader.
         self._history = collections.deque(
@@ -113,8 +123,10 @@
                 A later leader may have started since then.
             now: Current time in seconds.
         """
-        self._remove_expired(now)
-        holder = self._holders.setdefault(incarnation, _Holder())
+        is_new = incarnation not in self._holders
+        if is_new or now >= self._reviewed_at + REVIEW_INTERVAL_S:
+            self._review(incarnation, now)
+        holder = self._holders[incarnation]
         if demand.sequence <= holder.sequence:
             return None
         self._update_holder(holder, demand, now)
@@ -123,49 +135,43 @@
             return None
         target = demand.held_fraction if is_recovering else self._compute_target(holder)
         fraction = max(0.0, min(target, self._count_free(holder, is_recovering)))
-        unused = self._count_unused(fraction - holder.used, now)
+        used_before = holder.used
+        unused = self._count_unused(fraction - used_before, now)
         holder.grants.append(_Grant(demand.sequence, fraction, holder.present_until))
+        self._used_total += holder.used - used_before
         self._record_total(unused, now)
         lease_s = max(0.0, self._lease_s - proof_age_s)
         return roster.HostShare(
-            demand.sequence, fraction, lease_s, unused, self._find_position(incarnation)
+            demand.sequence, fraction, lease_s, unused, self._positions[incarnation]
         )
 
     def _update_holder(
         self, holder: _Holder, demand: roster.HostDemand, now: float
     ) -> None:
+        weight_before, used_before = holder.weight, holder.used
         holder.sequence = demand.sequence
         holder.weight = max(0.0, demand.weight)
+        self._weight_total += holder.weight - weight_before
         holder.present_until = now + self._lease_s + CLOCK_MARGIN_S
         # The holder has applied this grant, so it uses none of the earlier ones.
         holder.grants = [
             grant for grant in holder.grants if grant.sequence >= demand.held_sequence
         ]
+        self._used_total += holder.used - used_before
         self._window_s = max(self._window_s, demand.window_s)
 
-    def _compute_target(self, *holders: _Holder) -> float:
-        """Returns the fraction that some holders together are to have."""
+    def _compute_target(self, holder: _Holder) -> float:
+        """Returns the fraction that a holder is to have."""
         count = len(self._holders)
-        total = sum(item.weight for item in self._holders.values())
-        weight = sum(item.weight for item in holders)
-        proportional = (weight + BASE_WEIGHT_PER_S * len(holders)) / (
-            total + BASE_WEIGHT_PER_S * count
+        proportional = (holder.weight + BASE_WEIGHT_PER_S) / (
+            self._weight_total + BASE_WEIGHT_PER_S * count
         )
-        equal = len(holders) / count
-        fraction = EQUAL_FRACTION * equal + (1.0 - EQUAL_FRACTION) * proportional
+        fraction = EQUAL_FRACTION / count + (1.0 - EQUAL_FRACTION) * proportional
         return (1.0 - NEW_HOSTS_FRACTION) * fraction
 
-    def _find_position(self, incarnation: str) -> float:
-        return self._compute_target(
-            *(item for name, item in self._holders.items() if name < incarnation)
-        )
-
     def _count_free(self, holder: _Holder, is_recovering: bool) -> float:
         """Returns the highest fraction that a holder may be granted now."""
-        others = sum(
-            other.used for other in self._holders.values() if other is not holder
-        )
-        free = 1.0 - others
+        free = 1.0 - (self._used_total - holder.used)
         if is_recovering or holder.used <= 0.0:
             return free
         # It keeps what it has, but does not take what is kept for new hosts.
@@ -173,6 +179,8 @@
 
     def _count_unused(self, increase: float, now: float) -> float:
         """Returns the part of an increase that was never in use in the window."""
+        if increase <= 0.0:
+            return 0.0
         while len(self._history) > 1 and self._history[1].at <= now - self._window_s:
             self._history.popleft()
         peak = max(sample.total for sample in self._history)
@@ -180,14 +188,26 @@
 
     def _record_total(self, unused: float, now: float) -> None:
         """Records what is in use, and ``unused`` as if it had been in use before."""
-        for sample in self._history:
-            sample.total += unused
-        total = sum(holder.used for holder in self._holders.values())
+        if unused:
+            for sample in self._history:
+                sample.total += unused
         last = self._history[-1]
         if now < last.at + SAMPLE_INTERVAL_S:
-            last.total = max(last.total, total)
+            last.total = max(last.total, self._used_total)
         else:
-            self._history.append(_Sample(now, total))
+            self._history.append(_Sample(now, self._used_total))
+
+    def _review(self, present: str, now: float) -> None:
+        """Removes what has expired, and computes sums and positions anew."""
+        self._reviewed_at = now
+        self._remove_expired(now)
+        self._holders.setdefault(present, _Holder())
+        self._used_total = sum(holder.used for holder in self._holders.values())
+        self._weight_total = sum(holder.weight for holder in self._holders.values())
+        position, self._positions = 0.0, {}
+        for incarnation, holder in sorted(self._holders.items()):
+            self._positions[incarnation] = position
+            position += self._compute_target(holder)
 
     def _remove_expired(self, now: float) -> None:
         for incarnation, holder in list(self._holders.items()):
--- a/tests/properties/hostshares.feature
+++ b/tests/properties/hostshares.feature
@@ -31,3 +31,7 @@
   # Guards against a cold server that gets the rate once for each host that starts.
   Scenario: A cold server gets its rate while hosts restart, join and are cut off
     Then no second has more requests than a cold server can take while hosts change
+
+  # Guards against grants that look at all hosts, which cost the square of their number.
+  Scenario: A grant costs the same with any number of hosts
+    Then 480 hosts cost less than 3 times as much for each grant as 40 hosts
--- a/tests/steps/hostshares.py
+++ b/tests/steps/hostshares.py
@@ -1,12 +1,14 @@
 import collections
 import random
 import sys
+import time
 
 import behave
 from support import explorer
 from support import hostshares as support
 
 from lycheegauge.internal.coordination import coldratelimit, repeatbudget, sharegrants
+from lycheegauge.internal.protocol import roster
 
 MAX_STATES = 100_000
 RULES = {
@@ -249,3 +251,35 @@
         for start in taken:
             assert count_between(taken, start, start + 1.0) <= COLD_RATE_MAX
         assert len(taken) > 15.0 * COLD_RATE / 2, len(taken)
+
+
+def measure_grant(hosts, rounds):
+    """Returns the processor time of one grant while all hosts pull in turn."""
+    granter = sharegrants.ShareGranter(2.5, 0.0, is_first=True)
+    shares = [None] * hosts
+    began_at = 0.0
+    for number in range(rounds):
+        if number == 2:
+            began_at = time.process_time()
+        for host in range(hosts):
+            now = 1.0 + PULL_INTERVAL_S * (number + host / hosts)
+            held = shares[host]
+            demand = roster.HostDemand(
+                number + 1, 5.0, number if held else 0,
+                held.fraction if held else 0.0, WINDOW_S,
+            )  # fmt: skip
+            shares[host] = granter.grant(f"host-{host}", demand, True, 0.0, now)
+    return (time.process_time() - began_at) / (rounds - 2) / hosts
+
+
+@behave.then(
+    "{many:d} hosts cost less than {factor:d} times as much for each grant as {few:d} "
+    "hosts"
+)
+def check_grant_cost(context, many, factor, few):
+    costs = {hosts: measure_grant(hosts, 12) for hosts in (few, many)}
+    print_figure(
+        "a grant costs "
+        + ", ".join(f"{1e6 * cost:.0f} us with {n} hosts" for n, cost in costs.items())
+    )
+    assert costs[many] < factor * costs[few], costs
