Let the soak's servers leave in their answers and ask for time without requests

A server that says in its answers that it leaves gets at most one request of each caller from each gateway process, which may not have been told.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -142,6 +142,23 @@
                 yield f"{request_id} ran at {server.name}, {late_s:.1f} s after it left"
 
 
+@register_check
+def leaving_servers_get_few_requests(fleet):
+    """A server whose answers say that it leaves gets no request from those it told.
+
+    A gateway that was not told yet may have sent one request of each caller before
+    the first answer arrives.
+    """
+    gateways = sum(name.startswith("gateway") for name in fleet.started)
+    for server in fleet.servers:
+        if not server.said_leaving_at or server.crashes:
+            continue
+        until = min(server.said_leaving_at) + DEPARTURE_S + SLACK_S
+        late = [request_id for ran_at, request_id, *_ in server.log if ran_at > until]
+        if len(late) > gateways * len(fleet.callers):
+            yield f"{len(late)} requests ran at {server.name} after it said it leaves"
+
+
 @register_check
 def acknowledged_table_is_kept(fleet):
     """Reading the route table returns the newest acknowledged version."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import random
 import signal
 import threading
 import time
@@ -20,6 +21,8 @@
 
 LOSS_LOCK = threading.Lock()
 _faults = {}
+_added_faults = {}
+ADDED_FAULTS_MAX = 2
 
 
 def register_fault(run):
@@ -28,6 +31,16 @@
     return run
 
 
+def register_added_fault(run):
+    """Registers a fault that is drawn after the others.
+
+    It doesn't change the faults that a seed draws otherwise, so that the recorded
+    seeds still play the schedules that failed.
+    """
+    _added_faults[run.__name__] = run
+    return run
+
+
 @dataclasses.dataclass(frozen=True)
 class ScheduledFault:
     """One fault of a schedule, injected ``at_s`` after the callers started."""
@@ -48,12 +61,21 @@
         )
         for _ in range(count)
     ]
+    added_rng = random.Random(repr(drawn))
+    drawn += [
+        ScheduledFault(
+            round(added_rng.uniform(0.0, DURATION_S), 2),
+            added_rng.choice(sorted(_added_faults)),
+            added_rng.randrange(1 << 30),
+        )
+        for _ in range(added_rng.randint(0, ADDED_FAULTS_MAX))
+    ]
     return sorted(drawn, key=lambda item: item.at_s)
 
 
 def run_fault(name, fleet, rng):
     """Runs one fault and returns when it is over."""
-    _faults[name](fleet, rng)
+    (_faults | _added_faults)[name](fleet, rng)
 
 
 def _choose_gateway(rng):
@@ -239,12 +261,32 @@
     server.refuses = False
 
 
+@register_added_fault
+def ask_for_time(fleet, rng):
+    """A server refuses all requests and wants none for a while."""
+    server = rng.choice(fleet.servers)
+    server.retry_after_s = round(rng.uniform(0.5, 2.0), 2)
+    server.refuses = True
+    time.sleep(rng.uniform(0.3, 2.0))
+    server.refuses, server.retry_after_s = False, 0.0
+
+
+@register_added_fault
+def say_leaving(fleet, rng):
+    """A server says in its answers that it leaves, and announces nothing."""
+    with fleet.departure_lock:
+        staying = [server for server in fleet.servers if not server.is_gone]
+        if len(staying) > 3:
+            rng.choice(staying).says_leaving = True
+
+
 @register_fault
 def leave_service(fleet, rng):
     """A server announces its departure; at least three servers remain."""
-    staying = [server for server in fleet.servers if not server.has_left]
-    if len(staying) > 3:
-        fleet.send_departure(staying[rng.randrange(len(staying))])
+    with fleet.departure_lock:
+        staying = [server for server in fleet.servers if not server.is_gone]
+        if len(staying) > 3:
+            fleet.send_departure(staying[rng.randrange(len(staying))])
 
 
 @register_fault
--- a/tests/soak/soakfleet.py
+++ b/tests/soak/soakfleet.py
@@ -40,6 +40,10 @@
         host, port = self.proxy.target.split(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
 
+    @property
+    def is_gone(self):
+        return self.has_left or self.says_leaving
+
     def announce(self):
         return not self.has_left and super().announce()
 
@@ -60,7 +64,9 @@
         self.zone_outages = []  # [zone, acknowledged at, return asked for at or None]
         self.departed_at = {}  # server name: time when its departure was acknowledged
         self.callers = []
+        self.started = []  # the name of each process that was started
         self.table_lock = threading.Lock()
+        self.departure_lock = threading.Lock()
         self.zone_lock = threading.Lock()
         self.host_locks = collections.defaultdict(threading.Lock)
         self.all_processes = []
@@ -97,6 +103,7 @@
 
     def start_process(self, *arguments):
         process = super().start_process(*arguments)
+        self.started.append(arguments[0])
         self.all_processes.append(process)
         return process
 
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -46,6 +46,8 @@
         self.writers = []
         self.leaving = False
         self.says_leaving = False
+        self.said_leaving_at = []
+        self.retry_after_s = 0.0
         self.sequence = 0
         self.born_ms = time.time_ns() // 1_000_000
         self.loop = asyncio.new_event_loop()
@@ -137,9 +139,12 @@
         expected = fields["lycheegauge-expected-server"]
         self.arrivals.append((time.monotonic(), request_id))
         if self.refuses or expected != self.name:
+            wait_s = self.retry_after_s
+            wait = f"Retry-After: {wait_s}\r\n" if wait_s else ""
             writer.write(
                 b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
+                + wait.encode()
+                + b"Content-Length: 0\r\n\r\n"
             )
             return
         self.record_run(request_id, target, fields)
@@ -153,7 +158,10 @@
             return
         if not target.startswith("/stream/"):
             body = self.name.encode()
-            leaving = "Lycheegauge-Server-Leaving: 1\r\n" if self.says_leaving else ""
+            leaving = ""
+            if self.says_leaving:
+                leaving = "Lycheegauge-Server-Leaving: 1\r\n"
+                self.said_leaving_at.append(time.monotonic())
             writer.write(
                 f"HTTP/1.1 200 OK\r\n{leaving}Content-Length: {len(body)}\r\n"
                 f"Lycheegauge-Request-Id: {request_id}\r\n\r\n".encode()
