Let a log's first leader know that there was none before after split elections

Cause: a leader took itself for the first one only in term 1. What tells is the log: a leader grants only after the entry that starts its term is committed, and what is committed is in the log of every later leader. So a leader whose first entry is the log's first knows that none before it granted anything.

--- a/src/lycheegauge/internal/coordination/agreement/leadership.py
+++ b/src/lycheegauge/internal/coordination/agreement/leadership.py
@@ -35,6 +35,16 @@
         """The replication progress of each other member."""
         return self._progress
 
+    @property
+    def is_first(self) -> bool:
+        """Whether no leader before this one has committed anything.
+
+        What is committed is in the log of every later leader, and a leader's first
+        commit is the entry that starts its term. If that is the first entry of this
+        log, there is none of an earlier leader.
+        """
+        return self._term_start == 1
+
     @property
     def is_term_started(self) -> bool:
         """Whether an entry of the leader's own term is committed."""
--- a/src/lycheegauge/internal/coordination/agreement/replica.py
+++ b/src/lycheegauge/internal/coordination/agreement/replica.py
@@ -57,6 +57,11 @@
         """Whether this replica is the leader."""
         return self._leadership is not None
 
+    @property
+    def is_first_leader(self) -> bool:
+        """Whether this replica leads, and no leader before has committed anything."""
+        return self._leadership is not None and self._leadership.is_first
+
     @property
     def leader(self) -> agreement.Voter | None:
         """The known leader, which may be this replica itself."""
--- a/src/lycheegauge/internal/daemons/replication.py
+++ b/src/lycheegauge/internal/daemons/replication.py
@@ -140,6 +140,11 @@
         """Whether this replica is the leader."""
         return bool(self._replica and self._replica.is_leader and not self._failure)
 
+    @property
+    def is_first_leader(self) -> bool:
+        """Whether this replica leads, and no leader before has committed anything."""
+        return self.is_leader and bool(self._replica and self._replica.is_first_leader)
+
     @property
     def membership(self) -> agreement.Membership:
         """The current membership."""
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -77,7 +77,6 @@
 REOPEN_DELAY_S = 1.0
 """Seconds between attempts of a replica whose disk failed to reopen its journal."""
 RELAY_TIMEOUT_S = 2.0
-FIRST_TERM = 1
 """Term of the first leader that a log can have."""
 GAP_AGE_MAX_PULLS = 2.0
 """Age up to which reported pauses count as current, in pull intervals."""
@@ -220,7 +219,7 @@
                 self.task.term, self.address, now
             )
             self._shares = sharegrants.ShareGranter(
-                self.part.roster.lease_s, now, is_first=self.task.term == FIRST_TERM
+                self.part.roster.lease_s, now, is_first=self.task.is_first_leader
             )
             loguru.logger.info(
                 "became the log's leader",
--- a/tests/steps/agreement.py
+++ b/tests/steps/agreement.py
@@ -323,3 +323,36 @@
     assert propose(*voters, nonmember) is reason.NOT_CAUGHT_UP
     built.receive(protocol.AppendReply(nonmember, 4, True, 2, 2), 9.0)
     assert propose(*voters, nonmember) == ""
+
+
+@behave.then("the first leader after split elections knows that there was none before")
+def check_first_leader(context):
+    context.clusters = []
+    for seed in range(40):
+        cluster = agreement.Cluster(3, seed=seed)
+        cluster.faults = agreement.Faults(loss=0.3)
+        cluster.run_until(lambda cluster=cluster: cluster.find_leader() is not None)
+        leader = cluster.find_leader()
+        assert leader.replica.is_first_leader, (seed, leader.replica.term)
+        context.clusters.append((leader.replica.term, cluster))
+    terms = [term for term, _ in context.clusters]
+    assert max(terms) > 1, "no election was split"
+
+
+@behave.then("the leader after it knows that there was one")
+def check_next_leader(context):
+    for term, cluster in context.clusters[:10]:
+        cluster.faults = agreement.Faults()
+        cluster.commit()
+        former = cluster.find_leader()
+        cluster.faults = agreement.Faults(
+            isolated=frozenset({cluster.hosts.index(former)})
+        )
+
+        def has_next(cluster=cluster, former=former):
+            leader = cluster.find_leader()
+            return leader not in (None, former)
+
+        cluster.run_until(has_next)
+        assert cluster.find_leader().replica.term > term
+        assert not cluster.find_leader().replica.is_first_leader
--- a/tests/support/agreement.py
+++ b/tests/support/agreement.py
@@ -54,6 +54,10 @@
         known = self.leaders.setdefault(term, identity)
         assert known == identity, f"two leaders in term {term}"
 
+    def check_first_leader(self, term):
+        earlier = [item for item in self.entries.values() if item.term < term]
+        assert not earlier, f"the leader of term {term} is not the first: {earlier}"
+
     def count_memberships(self):
         kinds = [entry.kind for entry in self.entries.values()]
         return kinds.count(agreement.EntryKind.MEMBERSHIP)
@@ -176,6 +180,8 @@
             self.cluster.reference.check_leader(
                 self.replica.term, self.replica.identity
             )
+            if self.replica.is_first_leader:
+                self.cluster.reference.check_first_leader(self.replica.term)
             if self.cluster.repairs:
                 self.repair()
         behind = self.replica.commit_index - self.replica.snapshot_index
