Wait for an answer that says the server leaves, not for any answer, in a test

Traced with the gateways' logs: the server had answered the probe of the start, before it began to say that it leaves; the test took that for its leaving answer and counted the first real ones as too late. It now waits for an answer that says so; the check is unchanged.

--- a/tests/steps/forwardingfleet.py
+++ b/tests/steps/forwardingfleet.py
@@ -64,7 +64,7 @@
 
     def ask_first_gateway():
         fleet.request("/safe/a", f"first-{time.monotonic()}", gateway=0)
-        return leaving.arrivals
+        return leaving.said_leaving_at
 
     processes.wait_until(ask_first_gateway, "the leaving server answers")
     # The documented time within which the other hosts know.
