Read a group's demand while another group switches its map

Cause: counts were read only while all groups of a service were idle. With several groups one of them nearly always switches, so the demand of the others was not read and they got no map, and each poll of the switching one, up to 200 a second, called the ranks of all.

While a group switches, the others are now polled at their usual interval, with counts. With one group nothing changes. The tests' engines now leave out counts that were not asked for, which had hidden this. Not shown yet: what it changes on the site.

--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -123,7 +123,8 @@
     recent passes in seconds. ``unanswered_at`` is the time of the last unanswered
     order. ``planned_paces`` are the ranks' paces when the target was planned.
     ``may_copy`` tells whether experts can be copied without making streams late.
-    ``plan_due_at`` is the earliest time of the next plan. ``logged_phase`` is the
+    ``plan_due_at`` is the earliest time of the next plan. ``poll_due_at`` is when an
+    idle group is polled while another one switches. ``logged_phase`` is the
     phase that was logged last.
     """
 
@@ -137,6 +138,7 @@
     may_copy: bool = True
     unanswered_at: float = -math.inf
     plan_due_at: float = -math.inf
+    poll_due_at: float = -math.inf
     logged_phase: mapswitch.Phase = mapswitch.Phase.IDLE
     logged_phase_at: float = dataclasses.field(default_factory=clock.read_clock)
     planned_paces: list[float] = dataclasses.field(default_factory=list)
@@ -200,6 +202,8 @@
         self._appointment = appointment
         self._meter = meter
         self._groups: dict[str, _Group] = {}
+        self._group_names: dict[str, str] = {}
+        self._silent: frozenset[str] = frozenset()
         self._round_s = 0.0
         self._slots = asyncio.Semaphore(CALLS_AT_ONCE)
         self._routes = engineroutes.EngineRoutes(
@@ -232,14 +236,12 @@
         """
         assert service.experts is not None
         addresses = {server.name: server.address for server in servers}
-        is_unknown = any(not group.placements for group in self._groups.values())
         is_urgent = any(
             group.switch.phase in URGENT_PHASES for group in self._groups.values()
         )
-        is_idle = all(group.switch.is_idle for group in self._groups.values())
-        question = maporders.EngineQuestion(counts=is_idle, experts=is_unknown)
+        questions = self._make_questions(addresses)
         observed = await self._observe(
-            addresses, question, is_urgent, service.experts.report_lag_s
+            addresses, questions, is_urgent, service.experts.report_lag_s
         )
         by_group: dict[str, _Poll] = {}
         rank_addresses: dict[tuple[str, int], str] = {}
@@ -247,7 +249,9 @@
             report = observation.report
             by_group.setdefault(report.group, _Poll()).add(observation)
             rank_addresses[report.group, report.rank] = addresses[server]
-        waits = [_stretch_interval(OBSERVE_INTERVAL_S, len(addresses))]
+            self._group_names[server] = report.group
+        interval_s = _stretch_interval(OBSERVE_INTERVAL_S, len(addresses))
+        waits = [interval_s]
         for name, poll in by_group.items():
             group = self._get_group(name)
             group.may_copy = copytiming.may_copy(longest_gap_s, target_gap_s)
@@ -259,16 +263,40 @@
             self._log_phase(name, group)
             wait_s = _choose_wait(group.switch.phase, bool(orders), len(poll.reports))
             waits.append(outdated_s or wait_s)
-        silent = frozenset(addresses.keys() - observed.keys())
+            group.poll_due_at = clock.read_clock() + interval_s
+        silent = self._silent.difference(questions).intersection(addresses)
+        silent |= questions.keys() - observed.keys()
+        self._silent = silent
         if 2 * len(silent) > len(addresses):
             # More likely this host is the one that is partitioned.
             silent = frozenset()
         return PollResult(min(waits), silent)
 
+    def _make_questions(
+        self, addresses: dict[str, str]
+    ) -> dict[str, maporders.EngineQuestion]:
+        """Chooses the servers to poll now, and what to ask each.
+
+        While a group switches, the polls for it follow one another closely. The others
+        are polled at their usual interval, with counts, as their demand goes on.
+        """
+        now = clock.read_clock()
+        are_all_idle = all(group.switch.is_idle for group in self._groups.values())
+        questions = {}
+        for server in addresses:
+            group = self._groups.get(self._group_names.get(server, ""))
+            if group is None:
+                questions[server] = maporders.EngineQuestion(True, True)
+            elif are_all_idle or not group.switch.is_idle or now >= group.poll_due_at:
+                questions[server] = maporders.EngineQuestion(
+                    group.switch.is_idle, not group.placements
+                )
+        return questions
+
     async def _observe(
         self,
         addresses: dict[str, str],
-        question: maporders.EngineQuestion,
+        questions: dict[str, maporders.EngineQuestion],
         is_urgent: bool,
         report_lag_s: float,
     ) -> dict[str, engineroutes.Observation]:
@@ -278,16 +306,16 @@
             *(
                 self._call_within_limit(
                     self._routes.observe(
-                        address, question, others, is_urgent, report_lag_s
+                        addresses[server], question, others, is_urgent, report_lag_s
                     )
                 )
-                for address in others
+                for server, question in questions.items()
             )
         )
         self._round_s = clock.read_clock() - started_at
         return {
             server: observation
-            for server, observation in zip(addresses, answers, strict=True)
+            for server, observation in zip(questions, answers, strict=True)
             if observation is not None
         }
 
--- a/tests/support/grouppool.py
+++ b/tests/support/grouppool.py
@@ -1,6 +1,7 @@
 """A channel pool whose agents are the simulated ranks of one lock-step group."""
 
 import asyncio
+import dataclasses
 import random
 
 from lycheegauge.internal.protocol import codec, maporders, routetables
@@ -11,8 +12,11 @@
 class SimulatedRank:
     """An engine that carries out map orders at once."""
 
-    def __init__(self, rank, size, layout, source):
+    def __init__(self, rank, size, layout, source, group="group"):
         self.rank, self.size, self.layout = rank, size, layout
+        self.group = group
+        self.copies_forever = self.is_busy = False
+        self.counts_asked = 0
         self.version = 0
         self.prepared = self.armed = self.armed_step = self.held = NONE
         self.weights = [
@@ -28,7 +32,8 @@
             for count, weight in zip(self.counts, self.weights, strict=True)
         ]
         return maporders.EngineReport(
-            f"server-{self.rank}", "group", 1, self.rank, self.size, True, False, 1.0,
+            f"server-{self.rank}", self.group, 1, self.rank, self.size, True,
+            self.is_busy, 1.0,
             step, self.version, self.prepared, self.armed, self.armed_step, self.held,
             tuple(self.counts),
         )  # fmt: skip
@@ -36,7 +41,9 @@
     def order(self, order):
         match order.kind:
             case maporders.MapOrderKind.PREPARE:
-                self.prepared = order.version
+                self.is_busy = self.copies_forever
+                if not self.is_busy:
+                    self.prepared = order.version
             case maporders.MapOrderKind.HOLD:
                 self.held = order.step
             case maporders.MapOrderKind.ARM:
@@ -51,9 +58,10 @@
     All ranks prefer the same experts, so that a new map pays.
     """
 
-    def __init__(self, ranks, layout):
+    def __init__(self, ranks, layout, groups=("group",)):
         self.ranks = [
-            SimulatedRank(rank, ranks, layout, random.Random(1))
+            SimulatedRank(rank, ranks, layout, random.Random(1), group)
+            for group in groups
             for rank in range(ranks)
         ]
         self.step = 0
@@ -73,7 +81,11 @@
         rank = self.ranks[int(target.split(":")[0].split(".")[-1]) - 1]
         await asyncio.sleep(0)
         if isinstance(message, maporders.EngineQuestion):
-            return codec.decode(codec.encode(rank.report(self.step)))
+            rank.counts_asked += message.counts
+            report = rank.report(self.step)
+            if not message.counts:
+                report = dataclasses.replace(report, counts=())
+            return codec.decode(codec.encode(report))
         rank.order(message.order)
         return maporders.MapOrderReply(maporders.MapOrderOutcome.DONE)
 
