Switch to maps that gain less, since their cost is weighed already

A planned map had to shorten the slowest ranks' part by 0.08 to 0.5, a bound that stood for the time and the copies of a switch. The planner weighs both now, so the bound counted them twice; it remains for the accuracy of the demand (0.05).

--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -87,13 +87,13 @@
 """Fraction of the target pause between events that a pass may take before users
 notice."""
 
-REFERENCE_GAIN = 0.15
+REFERENCE_GAIN = 0.08
 """Fraction by which a switch must shorten the slowest ranks' part of a pass when a
 pass takes exactly that fraction of the target. The required gain falls with the square
 of the pass time: in a loaded group each ms adds more queueing, and in an idle group
 nobody would notice the gain."""
 
-GAIN_MIN = 0.08
+GAIN_MIN = 0.05
 """The estimate of demand is not more accurate than this."""
 
 GAIN_MAX = 0.5
