Decode the sizes of requests and engines, and add settings and fields for them

New sections of the settings are off by default; new fields of pulls and replies are at the end of their messages.

--- a/src/lycheegauge/internal/protocol/bounds.py
+++ b/src/lycheegauge/internal/protocol/bounds.py
@@ -14,6 +14,9 @@
 COUNT_MAX = 1_000_000
 """Largest number of things: slots, connections, attempts, experts."""
 
+TOKENS_MAX = 1_000_000_000
+"""Largest number of tokens of a prompt, an answer or an engine's memory."""
+
 IDENTIFIER_MAX = 2**63 - 1
 """Largest number that only orders or identifies, such as a version; what the messages
 between hosts can hold."""
@@ -25,6 +28,7 @@
 DURATION_MAX_MS = 1000 * DURATION_MAX_S
 
 Count = typing.Annotated[int, pydantic.Field(strict=True, ge=0, le=COUNT_MAX)]
+TokenCount = typing.Annotated[int, pydantic.Field(strict=True, ge=0, le=TOKENS_MAX)]
 Index = typing.Annotated[int, pydantic.Field(strict=True, ge=-1, le=COUNT_MAX)]
 """A position, or -1 for none."""
 
@@ -75,3 +79,12 @@
         does not limit anything.
     """
     return int(text) / 1000 if _WHOLE.fullmatch(text) else math.inf
+
+
+def parse_count(text: str) -> int | None:
+    """Reads a header's whole number of tokens.
+
+    Returns:
+        The number, at most ``TOKENS_MAX``; ``None`` if the text is not such a number.
+    """
+    return min(TOKENS_MAX, int(text)) if _WHOLE.fullmatch(text) else None
--- a/src/lycheegauge/internal/protocol/controlcalls.py
+++ b/src/lycheegauge/internal/protocol/controlcalls.py
@@ -94,6 +94,8 @@
         server_limit: In an answer, the requests per second that its server takes from
             all hosts together.
         server_leaving: In an answer, whether its server leaves: ``1``.
+        token_counts: The tokens of a generation's prompt, and the most of its answer.
+        length_hint: The caller's estimate of the answer's tokens.
     """
 
     request_id: str
@@ -106,9 +108,27 @@
     prompt_parts: str
     server_limit: str
     server_leaving: str
+    token_counts: str = ""
+    length_hint: str = ""
     retry_after: str = "Retry-After"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestSize:
+    """The size of a generation as its caller states it, in tokens.
+
+    Attributes:
+        prompt_tokens: The length of the prompt.
+        answer_tokens_max: The most tokens of the answer.
+        answer_tokens_hint: The caller's estimate, accurate at the median only;
+            ``None`` if there is none.
+    """
+
+    prompt_tokens: int
+    answer_tokens_max: int
+    answer_tokens_hint: int | None = None
+
+
 class Dialect(typing.Protocol):
     """An external HTTP interface: its paths, headers and bodies.
 
@@ -143,6 +163,11 @@
     def parse_prompt_parts(self, header: str) -> tuple[str, ...]:
         """Returns the ids of the parts that a prompt shares with other requests."""
 
+    def parse_request_size(
+        self, token_counts: str, length_hint: str
+    ) -> RequestSize | None:
+        """Returns the stated size of a generation; ``None`` if none is stated."""
+
     def encode_entry_addresses(
         self, addresses: tuple[str, ...], valid_s: float
     ) -> bytes:
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -21,6 +21,8 @@
     prompt_parts="Lycheegauge-Prompt-Parts",
     server_limit="Lycheegauge-Server-Limit",
     server_leaving="Lycheegauge-Server-Leaving",
+    token_counts="Lycheegauge-Token-Counts",
+    length_hint="Lycheegauge-Length-Hint",
 )
 
 AUTHORIZATION_SCHEME = "Bearer "
@@ -74,21 +76,43 @@
         return routetables.ExpertLayout(**self.model_dump())
 
 
+class EngineProfileModel(Model):
+    """What the operator states about a service's model engines."""
+
+    step_s: bounds.DurationS = 0.0
+    stream_step_s: bounds.DurationS = 0.0
+    context_s: bounds.DurationS = 0.0
+    prompt_tokens_per_s: bounds.Weight = 0.0
+    chunk_tokens: bounds.Count = 0
+    steps_per_event: bounds.Count = 0
+    memory_tokens: bounds.TokenCount = 0
+    mean_prompt_tokens: bounds.Weight = 0.0
+    mean_answer_tokens: bounds.Weight = 0.0
+
+    def decode(self) -> routetables.EngineProfile:
+        """Converts the profile to its data class."""
+        return routetables.EngineProfile(**self.model_dump())
+
+
 class ServiceModel(Model):
     """A service in a route table."""
 
     name: str
     cold_rate: bounds.Rate = 0.0
+    slots: bounds.Count = 0
     experts: ExpertLayoutModel | None = None
     connections_max: bounds.Count = 0
+    engine: EngineProfileModel | None = None
 
     def decode(self) -> routetables.ServiceDeclaration:
         """Converts the service to its data class."""
         return routetables.ServiceDeclaration(
             self.name,
             self.cold_rate,
+            self.slots,
             experts=self.experts.decode() if self.experts else None,
             connections_max=self.connections_max,
+            engine=self.engine.decode() if self.engine else None,
         )
 
 
@@ -241,6 +265,12 @@
         """Returns the ids of the parts that a prompt shares with other requests."""
         return parse_part_list(header)
 
+    def parse_request_size(
+        self, token_counts: str, length_hint: str
+    ) -> controlcalls.RequestSize | None:
+        """Returns the stated size of a generation; ``None`` if none is stated."""
+        return parse_token_counts(token_counts, length_hint)
+
     def encode_entry_addresses(
         self, addresses: tuple[str, ...], valid_s: float
     ) -> bytes:
@@ -269,6 +299,27 @@
     return tuple(item for item in ids if 0 < len(item) <= PART_ID_MAX_LENGTH)
 
 
+def parse_token_counts(
+    token_counts: str, length_hint: str
+) -> controlcalls.RequestSize | None:
+    """Reads a generation's size from ``PROMPT,ANSWER`` and the caller's estimate.
+
+    Args:
+        token_counts: The tokens of the prompt and the most tokens of the answer.
+        length_hint: The caller's estimate of the answer's tokens, or empty.
+
+    Returns:
+        The size; ``None`` unless both counts are whole numbers.
+    """
+    prompt_text, _, answer_text = token_counts.partition(",")
+    prompt_tokens = bounds.parse_count(prompt_text.strip())
+    answer_tokens_max = bounds.parse_count(answer_text.strip())
+    if prompt_tokens is None or answer_tokens_max is None:
+        return None
+    hint = bounds.parse_count(length_hint.strip())
+    return controlcalls.RequestSize(prompt_tokens, answer_tokens_max, hint)
+
+
 def make_failure(
     error: pydantic.ValidationError, step: str
 ) -> result.Result[typing.Any, errors.BorderError]:
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -22,6 +22,8 @@
         cold_s: How long it stays cold, in seconds from this message.
         leaving: Whether it asked for no new requests.
         silent: Whether the log's leader can't reach it.
+        pace: How many times longer than usual its part of a lock-step pass takes; 0
+            if not known.
     """
 
     name: str
@@ -34,6 +36,7 @@
     cold_s: float
     leaving: bool = False
     silent: bool = False
+    pace: float = 0.0
 
     @property
     def incarnation(self) -> str:
@@ -80,10 +83,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenRequests:
-    """The number of open requests at a backend server."""
+    """The open requests at a backend server, and the tokens that they hold there."""
 
     server: str
     count: int
+    tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +98,49 @@
     longest_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicePass:
+    """How long the passes of a service's lock-step engines take, in seconds.
+
+    ``samples`` is the number of pauses between events that it was measured from.
+    """
+
+    service: str
+    pass_s: float
+    samples: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerOutcomes:
+    """What one host found at an incarnation of a server; ``age_ms`` of the latest."""
+
+    server: str
+    born_ms: int
+    answered: int
+    failed: int
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectServer:
+    """A server that failed at several hosts; ``failed_hosts`` is their number."""
+
+    server: str
+    born_ms: int
+    failed_hosts: int
+    answered: int
+    failed: int
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerPace:
+    """How many times longer than usual a rank's part of a pass takes."""
+
+    server: str
+    pace: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadNews:
     """All open requests of a host; ``number`` increases with each such message."""
@@ -153,7 +200,9 @@
     its process start, and ``silent_servers`` are those that it can't reach while it
     coordinates the expert maps. ``demand`` is that of an entry host for its share of
     the limits of all hosts. ``departures`` are servers whose answers said that they
-    leave; they are resent like crashes.
+    leave; they are resent like crashes. ``passes`` and ``outcomes`` are what an entry
+    host measured lately, ``paces`` those of slow ranks that the coordinator of the
+    expert maps knows.
     """
 
     host: HostListing | None
@@ -174,6 +223,9 @@
     cleared_parts: tuple[changes.ClearPart, ...] = ()
     part_list_version: int = 0
     departures: tuple[Departure, ...] = ()
+    passes: tuple[ServicePass, ...] = ()
+    outcomes: tuple[ServerOutcomes, ...] = ()
+    paces: tuple[ServerPace, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,7 +249,8 @@
     means that the log has stored the crashes and clearances of the request.
     ``pull_interval_s`` is how long to wait until the next pull; 0 leaves it to the
     requester. ``appointment`` is set for the log host that coordinates the expert maps,
-    ``share`` for entry hosts that sent a demand.
+    ``share`` for entry hosts that sent a demand. ``passes`` are the medians over all
+    entry hosts, ``suspect_servers`` the servers that failed at several of them.
     """
 
     proof: freshness.Proof | None
@@ -219,6 +272,8 @@
     appointment: MapAppointment | None = None
     share: HostShare | None = None
     part_list: freshness.CrashingPartList | None = None
+    passes: tuple[ServicePass, ...] = ()
+    suspect_servers: tuple[SuspectServer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/protocol/routetables.py
+++ b/src/lycheegauge/internal/protocol/routetables.py
@@ -83,6 +83,37 @@
     copy_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineProfile:
+    """What the operator states about the model engine of a service's servers.
+
+    A token step of an engine takes ``step_s`` plus ``stream_step_s`` for each stream
+    that is writing, plus ``context_s`` for each token of their contexts. A value of 0
+    means that it is not stated.
+
+    Attributes:
+        step_s: The duration of a token step without streams, in seconds.
+        stream_step_s: What each writing stream adds to a step, in seconds.
+        context_s: What each token of context adds to a step, in seconds.
+        prompt_tokens_per_s: How many prompt tokens the engine reads per second.
+        chunk_tokens: The most prompt tokens that it reads in one step.
+        steps_per_event: The token steps of a pass, and the tokens of an event.
+        memory_tokens: The tokens that fit into its memory, over all its requests.
+        mean_prompt_tokens: The usual length of a prompt.
+        mean_answer_tokens: The usual length of an answer.
+    """
+
+    step_s: float = 0.0
+    stream_step_s: float = 0.0
+    context_s: float = 0.0
+    prompt_tokens_per_s: float = 0.0
+    chunk_tokens: int = 0
+    steps_per_event: int = 0
+    memory_tokens: int = 0
+    mean_prompt_tokens: float = 0.0
+    mean_answer_tokens: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceDeclaration:
     """A service as declared by the operator.
@@ -90,7 +121,8 @@
     ``cold_rate`` is how many requests per second a cold backend server can take; 0
     means no limit. ``slots`` is the default for servers that don't announce theirs.
     ``connections_max`` is the maximum number of connections to a server from all
-    hosts together; 0 means unknown.
+    hosts together; 0 means unknown. ``engine`` is ``None`` for services that are not
+    models, and for models whose engines the operator does not describe.
     """
 
     name: str
@@ -98,6 +130,7 @@
     slots: int = 0
     experts: ExpertLayout | None = None
     connections_max: int = 0
+    engine: EngineProfile | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/settings.py
+++ b/src/lycheegauge/settings.py
@@ -62,12 +62,19 @@
 
 
 class Limits(Model):
-    """Limits on what callers may send and on what is buffered for them."""
+    """Limits on what callers may send and on what is buffered for them.
+
+    ``held_bytes`` limits the bytes that a forwarding entry host holds for callers and
+    servers together; 0 means no limit. ``connection_bytes`` is the share of each
+    connection.
+    """
 
     header_bytes: int = pydantic.Field(default=16_384, ge=1024, le=262_144)
     body_bytes: int = pydantic.Field(default=1_048_576, ge=1024, le=67_108_864)
     connections: int = pydantic.Field(default=2048, ge=1, le=65_536)
     buffered_bytes: int = pydantic.Field(default=262_144, ge=4096, le=16_777_216)
+    held_bytes: int = pydantic.Field(default=0, ge=0, le=2**40)
+    connection_bytes: int = pydantic.Field(default=262_144, ge=4096, le=16_777_216)
     idle_timeout_s: float = pydantic.Field(default=60.0, ge=1, le=3600)
     queued_requests: int = pydantic.Field(default=512, ge=1, le=65_536)
 
@@ -141,6 +148,70 @@
     window_s: float = pydantic.Field(default=10.0, gt=0, le=600)
 
 
+class StreamAdmissionSettings(Model):
+    """Admission by the pass time of lock-step engines, and waiting at the host.
+
+    ``from_servers`` is the number of servers of a service from which it is used; 0
+    turns it off. ``queue_wait_max_s`` is the longest time that a request waits at the
+    host, and ``queue_length`` the most requests that wait.
+    """
+
+    from_servers: int = pydantic.Field(default=0, ge=0, le=100_000)
+    queue_wait_max_s: float = pydantic.Field(default=1.5, gt=0, le=60)
+    queue_length: int = pydantic.Field(default=64, ge=1, le=65_536)
+
+
+class ServerChoiceSettings(Model):
+    """How an entry host that forwards requests chooses among servers.
+
+    ``zone_tolerance`` is the fraction of slots by which a server in the host's own
+    zone may be busier than the best elsewhere and is still chosen; ``null`` ignores
+    zones. ``weigh_work`` compares servers by their expected remaining work instead of
+    their requests, and leaves out those whose memory a request would overfill.
+    ``directory_by_load`` leaves out overloaded entry hosts in answers to callers. All
+    of it is used for services with at least ``from_servers`` servers.
+    """
+
+    zone_tolerance: float | None = pydantic.Field(default=None, ge=0, le=1)
+    weigh_work: bool = False
+    directory_by_load: bool = False
+    from_servers: int = pydantic.Field(default=0, ge=0, le=100_000)
+
+
+class EvidenceSettings(Model):
+    """Findings about servers that the entry hosts share.
+
+    ``from_servers`` is the number of servers in the roster, of all services, from
+    which it is used; 0 turns it off.
+    """
+
+    from_servers: int = pydantic.Field(default=0, ge=0, le=100_000)
+
+
+class HedgingSettings(Model):
+    """Second copies of requests that may be repeated and whose answer is late.
+
+    ``extra_fraction`` is the limit on second copies, as a fraction of the requests of
+    a service, over all entry hosts together; 0 turns hedging off.
+    """
+
+    extra_fraction: float = pydantic.Field(default=0.0, ge=0, le=1)
+
+
+class MapSettings(Model):
+    """How the expert maps of large lock-step groups are switched.
+
+    ``relayed_from_ranks`` is the group size from which calls to ranks go through
+    other engines' agents, agents plan layers and orders answer with the engine's
+    state; 0 turns it off. ``poll_interval_s`` is the interval at which the demand for
+    experts is read, ``demand_half_life_s`` the time after which it has half weight.
+    """
+
+    relayed_from_ranks: int = pydantic.Field(default=0, ge=0, le=100_000)
+    poll_interval_s: float = pydantic.Field(default=0.2, ge=0.02, le=10)
+    demand_half_life_s: float = pydantic.Field(default=0.5, ge=0.05, le=60)
+
+
 class GatewaySettings(Model):
     """Settings of an entry host that forwards requests unchanged.
 
@@ -159,6 +230,10 @@
     roster: RosterSettings
     answer_valid_s: float = pydantic.Field(default=2.0, gt=0, le=600)
     repeats: RepeatSettings = RepeatSettings()
+    admission: StreamAdmissionSettings = StreamAdmissionSettings()
+    server_choice: ServerChoiceSettings = ServerChoiceSettings()
+    evidence: EvidenceSettings = EvidenceSettings()
+    hedging: HedgingSettings = HedgingSettings()
     limits: Limits = Limits()
     stop_timeout_s: float = pydantic.Field(default=7.0, gt=0, le=3600)
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
@@ -187,6 +262,7 @@
     dialect: str = "native"
     roster: RosterSettings
     announce_interval_s: float = pydantic.Field(default=1.2, gt=0, le=60)
+    maps: MapSettings = MapSettings()
     answer_valid_s: float = pydantic.Field(default=2.0, gt=0, le=600)
     snapshot_entries: int = pydantic.Field(default=200, ge=10, le=1_000_000)
     limits: Limits = Limits(body_bytes=8_388_608)
