Make the choice of a server one function of data, and split two large modules

The decision whether a request may be sent, where, or why not is now coordination/serverselection.py, a registry of rules over candidates with their facts; servercandidates.py collects these. Responses are passed on by responseforwarding.py, and requestintake.py starts requests, which ends the circle.

--- a/src/lycheegauge/internal/coordination/serverchoice.py
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -1,15 +1,11 @@
-"""Chooses the backend server to which a request is sent.
+"""Estimates how busy the backend servers are, and remembers which ones failed.
 
 A host knows its own open requests exactly. It knows those of the other hosts as of
-its last pull or, while servers are crowded, as of their load updates. From a few
-servers drawn at random it chooses the one with the lowest estimated fraction of busy
-slots (the power of d choices, Mitzenmacher 2001), so that hosts with the same old
-data don't all choose the same server.
+its last pull or, while servers are crowded, as of their load updates.
 """
 
 import dataclasses
 import math
-import random
 import typing
 
 from lycheegauge.internal.coordination import loadnews
@@ -25,15 +21,6 @@
 """A server that fails is excluded for a time that starts at ``INITIAL_BACKOFF_S`` and
 doubles with each consecutive failure, up to this maximum."""
 
-SERVERS_SAMPLED = 3
-"""Servers compared per choice while only pulled counts are known. With counts some
-tenths of a second old, two servers are too few to find a free one, and with more than
-four the hosts choose the same servers; see the flash crowd in the tests."""
-
-SERVERS_SAMPLED_WITH_NEWS = 5
-"""Servers compared per choice while there are updates from all hosts. They are some
-hundredths of a second old, so more servers can be compared."""
-
 
 @dataclasses.dataclass(slots=True)
 class _ServerLoad:
@@ -55,47 +42,22 @@
 
 
 class ServerChoice:
-    """Tracks the servers of all services and chooses among them.
+    """Tracks the loads and failures of the servers of all services.
 
     Attributes:
         news: Load updates from the other hosts.
         has_recent_news: Whether there is a recent update from every other host.
-
-    Args:
-        random_source: Random source that draws the servers to compare.
     """
 
-    def __init__(self, random_source: random.Random) -> None:
-        self._random = random_source
+    def __init__(self) -> None:
         self._loads: dict[str, _ServerLoad] = {}
         self.news = loadnews.LoadNewsStore()
         self.has_recent_news = False
 
-    def choose(
-        self,
-        servers: typing.Iterable[roster.ServerListing],
-        slots: int,
-        now: float,
-    ) -> roster.ServerListing | None:
-        """Chooses one of ``servers``; recently failed ones only if all have failed.
-
-        Args:
-            servers: The servers that may run the request.
-            slots: Slots assumed for a server that does not report its own.
-            now: Current time in seconds.
-        """
-        usable = list(servers)
-        healthy = [s for s in usable if self._get_load(s.name).excluded_until <= now]
-        candidates = healthy or usable
-        if not candidates:
-            return None
-        count = SERVERS_SAMPLED_WITH_NEWS if self.has_recent_news else SERVERS_SAMPLED
-        sampled = self._random.sample(candidates, min(count, len(candidates)))
-        best = min(sampled, key=lambda server: self.estimate(server, slots, now))
-        if self.estimate(best, slots, now) < 1.0:
-            return best
-        # All drawn servers are full, but another one may have a free slot.
-        return min(candidates, key=lambda server: self.estimate(server, slots, now))
+    def has_failed(self, server: str, now: float) -> bool:
+        """Tells whether a server is excluded because it failed recently."""
+        load = self._loads.get(server)
+        return load is not None and load.excluded_until > now
 
     def estimate(self, server: roster.ServerListing, slots: int, now: float) -> float:
         """Estimates the busy fraction of a server's slots; above 1 requests queue."""
--- /dev/null
+++ b/src/lycheegauge/internal/coordination/serverselection.py
@@ -0,0 +1,211 @@
+"""Decides whether a request may be sent, to which backend server, or why not.
+
+The decision depends only on its arguments: what the host knows of each server, and a
+random source that draws the servers to compare. The forwarder sends by it, and
+operators can ask for it without sending anything.
+
+From a few servers drawn at random the one with the lowest estimated fraction of busy
+slots is chosen (the power of d choices, Mitzenmacher 2001), so that hosts with the same
+old data don't all choose the same server.
+
+Rules are applied in the order in which they are registered. A rule with a refusal
+excludes the servers that break it; any other rule is a preference, which is ignored if
+no server meets it.
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+from lycheegauge.internal.protocol import roster, work
+
+SERVERS_SAMPLED = 3
+"""Servers compared per choice while only pulled counts are known. With counts some
+tenths of a second old, two servers are too few to find a free one, and with more than
+four the hosts choose the same servers; see the flash crowd in the tests."""
+
+SERVERS_SAMPLED_WITH_NEWS = 5
+"""Servers compared per choice while there are updates from all hosts. They are some
+hundredths of a second old, so more servers can be compared."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """What a host knows of a server that its service's requests may be sent to.
+
+    Attributes:
+        server: The server, as listed.
+        busy: The estimated fraction of its slots in use; above 1 requests queue.
+        is_leaving: Whether its answers said that it leaves.
+        wait_s: For how long it wants no request, in seconds.
+        may_send: Whether it wants requests now.
+        has_connection: Whether this host may use another of its connections.
+        is_within_limit: Whether the limit that it states allows another request.
+        limit_interval_s: How often it takes a request from any host, in seconds; 0
+            without a limit.
+        is_tried: Whether this request was sent to it before.
+        is_cold: Whether it is cold.
+        allows_cold: Whether it is warm, or its cold rate allows another request.
+        has_failed: Whether it failed here recently.
+    """
+
+    server: roster.ServerListing
+    busy: float
+    is_leaving: bool = False
+    wait_s: float = 0.0
+    may_send: bool = True
+    has_connection: bool = True
+    is_within_limit: bool = True
+    limit_interval_s: float = 0.0
+    is_tried: bool = False
+    is_cold: bool = False
+    allows_cold: bool = True
+    has_failed: bool = False
+
+
+Condition = collections.abc.Callable[[Candidate], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """A condition on servers.
+
+    Attributes:
+        name: What the condition asks of a server, for operators.
+        condition: Tells whether a server meets it.
+        refusal: Why a request is refused if no server meets it; ``None`` for a
+            preference.
+    """
+
+    name: str
+    condition: Condition
+    refusal: work.RefusalReason | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exclusion:
+    """A server that was left out, and the name of the rule that it broke."""
+
+    candidate: Candidate
+    rule: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selection:
+    """The decision.
+
+    Attributes:
+        chosen: The server; ``None`` if the request must not be sent.
+        refusal: Why it must not be sent.
+        remaining: The servers that met all rules before the one that refused.
+        excluded: The servers that were left out.
+    """
+
+    chosen: Candidate | None
+    refusal: work.RefusalReason | None
+    remaining: tuple[Candidate, ...]
+    excluded: tuple[Exclusion, ...]
+
+
+_rules: list[Rule] = []
+
+
+def register_rule(
+    name: str, refusal: work.RefusalReason | None = None
+) -> collections.abc.Callable[[Condition], Condition]:
+    """Registers a rule behind all that are registered already."""
+
+    def register(condition: Condition) -> Condition:
+        _rules.append(Rule(name, condition, refusal))
+        return condition
+
+    return register
+
+
+@register_rule("stays", work.RefusalReason.NO_BACKEND_SERVER)
+def _stays(candidate: Candidate) -> bool:
+    return not candidate.is_leaving
+
+
+@register_rule("wants requests", work.RefusalReason.SERVER_WAIT)
+def _wants_requests(candidate: Candidate) -> bool:
+    return candidate.may_send
+
+
+@register_rule("has a connection left", work.RefusalReason.BACKEND_SERVERS_FULL)
+def _has_connection(candidate: Candidate) -> bool:
+    return candidate.has_connection
+
+
+@register_rule("can be reached by the log's leader")
+def _is_reachable(candidate: Candidate) -> bool:
+    return not candidate.server.silent
+
+
+@register_rule("is within its limit", work.RefusalReason.SERVER_LIMIT)
+def _is_within_limit(candidate: Candidate) -> bool:
+    return candidate.is_within_limit
+
+
+@register_rule("was not tried")
+def _was_not_tried(candidate: Candidate) -> bool:
+    return not candidate.is_tried
+
+
+@register_rule("is warm enough", work.RefusalReason.COLD_LIMIT)
+def _is_warm_enough(candidate: Candidate) -> bool:
+    return candidate.allows_cold
+
+
+@register_rule("has not failed recently")
+def _has_not_failed(candidate: Candidate) -> bool:
+    return not candidate.has_failed
+
+
+def select_server(
+    candidates: collections.abc.Iterable[Candidate],
+    has_recent_news: bool,
+    random_source: random.Random,
+) -> Selection:
+    """Selects a server for a request.
+
+    Args:
+        candidates: The servers of the request's service.
+        has_recent_news: Whether there are updates of the servers' loads from all
+            hosts.
+        random_source: Draws the servers to compare.
+    """
+    remaining = list(candidates)
+    excluded: list[Exclusion] = []
+    if not remaining:
+        return Selection(None, work.RefusalReason.NO_BACKEND_SERVER, (), ())
+    for rule in _rules:
+        kept = [item for item in remaining if rule.condition(item)]
+        if not kept and rule.refusal is None:
+            continue
+        if len(kept) < len(remaining):
+            excluded += [
+                Exclusion(item, rule.name)
+                for item in remaining
+                if not rule.condition(item)
+            ]
+        if not kept:
+            return Selection(None, rule.refusal, tuple(remaining), tuple(excluded))
+        remaining = kept
+    count = SERVERS_SAMPLED_WITH_NEWS if has_recent_news else SERVERS_SAMPLED
+    chosen = _choose_least_busy(remaining, count, random_source)
+    return Selection(chosen, None, tuple(remaining), tuple(excluded))
+
+
+def _choose_least_busy(
+    candidates: collections.abc.Sequence[Candidate],
+    count: int,
+    random_source: random.Random,
+) -> Candidate:
+    """Chooses the least busy of a few servers; of all, if those are full."""
+    sampled = random_source.sample(candidates, min(count, len(candidates)))
+    best = min(sampled, key=lambda item: item.busy)
+    if best.busy < 1.0:
+        return best
+    # All drawn servers are full, but another one may have a free slot.
+    return min(candidates, key=lambda item: item.busy)
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -4,32 +4,19 @@
 import http.client
 import json
 import math
-import typing
-
-import tornado.httputil
 
 from lycheegauge import errors
 from lycheegauge.internal.coordination import (
-    eventstream,
     forwardrules,
     headers,
-    partdetector,
     repeatbudget,
     routeindex,
 )
-from lycheegauge.internal.daemons import requestrecord
+from lycheegauge.internal.daemons import forwarder, requestrecord, responseforwarding
 from lycheegauge.internal.protocol import bounds, calls, roster, routetables, work
 from lycheegauge.internal.transport import clock, ingress, upstream
 
-if typing.TYPE_CHECKING:
-    from lycheegauge.internal.daemons import forwarder
-
-OK = 200
 REDIRECT_MIN = 300
-EVENT_STREAM_TYPE = "text/event-stream"
-BUFFERED_BODY_MAX_BYTES = 262_144
-"""A non-streamed response up to this size is buffered completely before it is
-forwarded, so that the request can still be repeated if the response is cut off."""
 
 REFUSALS_MAX = 3
 """Refusals by servers after which a request is given up. They are allowed beyond the
@@ -66,9 +53,7 @@
 class ForwardedRequest:
     """Forwards one request and responds to it exactly once."""
 
-    def __init__(
-        self, shared: "forwarder.Forwarder", exchange: ingress.Exchange
-    ) -> None:
+    def __init__(self, shared: forwarder.Forwarder, exchange: ingress.Exchange) -> None:
         self._shared = shared
         self._exchange = exchange
         self._names = shared.dialect.headers
@@ -79,19 +64,17 @@
         self._priority: int | None = None
         self._deadline = math.inf
         self._tried_servers: set[str] = set()
-        self._server = ""
         self._runs = 0
         self._refusals = 0
         self._may_have_run = False
         self._parts: tuple[str, ...] = ()
-        self._suspicions: partdetector.Suspicions = {}
         self._sent_at = math.inf
-        self._is_settled = False
-        self._first_written_at: float | None = None
-        self._splitter: eventstream.EventSplitter | None = None
         self._record = requestrecord.RequestRecord(
             shared, self._request_id, exchange.arrived_at
         )
+        self._response = responseforwarding.ResponseForwarder(
+            shared, exchange, self._record
+        )
 
     async def run(self) -> None:
         """Forwards the request until it is answered or given up."""
@@ -289,7 +272,7 @@
             return self._refusals < REFUSALS_MAX
         if not self._route.repetition.is_idempotent:
             return False
-        if self._exchange.is_started and self._splitter is None:
+        if self._exchange.is_started and self._response.splitter is None:
             return False
         return self._runs < self._route.attempts_max
 
@@ -304,13 +287,11 @@
             self._service,
             self._runs + self._refusals + 1,
             self._deadline,
-            self._splitter.last_id if self._splitter else "",
+            self._response.last_event_id,
         )
         shared.note_sent(server)
         self._tried_servers.add(server.name)
-        self._server = server.name
-        self._suspicions = shared.crashdetector.parts.list_suspicions(self._parts)
-        self._is_settled, self._first_written_at = False, None
+        self._response.begin_attempt(self._service, server.name, self._parts)
         is_complete = False
         sent_at = self._sent_at = clock.read_clock()
         try:
@@ -326,7 +307,9 @@
                 self._refusals += 1
                 is_complete = await self._discard_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVERS_FULL)
-            is_broken = self._exchange.is_started and not self._is_event_stream(head)
+            is_broken = self._exchange.is_started and not (
+                responseforwarding.is_event_stream(self._route, head)
+            )
             can_repeat = verdict is forwardrules.Verdict.REPEAT and (
                 self._can_repeat_elsewhere()
             )
@@ -334,18 +317,18 @@
                 # A response that does not resume the stream must not become part of it.
                 is_complete = await self._discard_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED)
-            await self._forward_response(head, connection)
+            await self._response.forward(self._route, head, connection)
             is_complete = True
             self._record.write_answered(self._route, head, self._runs)
             if head.status < REDIRECT_MIN:
-                self._note_settled(clock.read_clock())
+                self._response.note_settled(clock.read_clock())
             shared.crashdetector.record_answered(self._digest_request())
             served_s = clock.read_clock() - sent_at
             shared.get_forecast(self._service).note_served(served_s)
             return None
         except errors.BackendServerFailedError as error:
             self._record_failure(server, str(error))
-            suspected_parts = () if self._is_settled else self._parts
+            suspected_parts = () if self._response.is_settled else self._parts
             shared.record_broken_attempt(
                 server, self._digest_request(), suspected_parts
             )
@@ -388,8 +371,8 @@
         }
         if self._organisation:
             overrides[names.organisation] = self._organisation
-        if self._splitter is not None and self._splitter.last_id:
-            overrides[names.last_event_id] = self._splitter.last_id
+        if self._response.last_event_id:
+            overrides[names.last_event_id] = self._response.last_event_id
         if self._route is not None and self._route.repetition.is_stream:
             sent_priority = (
                 self._route.priority if self._priority is None else self._priority
@@ -429,15 +412,6 @@
             head.status, says_not_run, self._route.repetition
         )
 
-    def _is_event_stream(self, head: upstream.ResponseHead) -> bool:
-        assert self._route is not None
-        media_type = head.get("content-type").partition(";")[0].strip().lower()
-        return (
-            self._route.repetition.is_stream
-            and head.status == OK
-            and media_type in ("", EVENT_STREAM_TYPE)
-        )
-
     def _can_repeat_elsewhere(self) -> bool:
         assert self._route is not None
         return self._runs < self._route.attempts_max and len(self._tried_servers) < len(
@@ -465,127 +439,7 @@
         out_s = self._shared.choice.note_failure(server.name, clock.read_clock())
         self._record.write_failed(server, self._may_have_run, detail, out_s)
 
-    # Responses.
-
-    async def _forward_response(
-        self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
-    ) -> None:
-        """Forwards a response to its regular end."""
-        assert self._route is not None
-        if not self._is_event_stream(head):
-            await self._forward_plain(head, connection)
-        elif self._route.repetition.is_idempotent:
-            await self._forward_events(head, connection)
-        else:
-            await self._forward_parts(head, connection)
-        self._shared.metrics.count_answer(self._service)
-
-    async def _forward_plain(
-        self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
-    ) -> None:
-        buffered = bytearray()
-        while part := await connection.read_chunk():
-            if self._exchange.is_started:
-                await self._write(part)
-                continue
-            buffered += part
-            if len(buffered) > BUFFERED_BODY_MAX_BYTES:
-                self._start(head)
-                await self._write(bytes(buffered))
-        if not self._exchange.is_started:
-            self._start(head)
-            if buffered:
-                await self._write(bytes(buffered))
-        self._exchange.finish()
-
-    async def _forward_parts(
-        self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
-    ) -> None:
-        """Forwards a stream that no other server can resume, as its bytes arrive."""
-        splitter = eventstream.EventSplitter()
-        while part := await connection.read_chunk():
-            splitter.feed(part)
-            _check_event_size(splitter)
-            if not self._exchange.is_started:
-                self._start(head)
-            await self._write(part)
-        self._check_stream_end(head, splitter)
-        if not self._exchange.is_started:
-            self._start(head)
-        self._exchange.finish()
-
-    async def _forward_events(
-        self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
-    ) -> None:
-        """Forwards complete events only, so that another server can resume a stream."""
-        if self._splitter is None:
-            last_id = self._exchange.headers.get(self._names.last_event_id, "")
-            self._splitter = eventstream.EventSplitter(last_id)
-        splitter = self._splitter
-        splitter.begin_attempt()
-        while part := await connection.read_chunk():
-            events = splitter.feed(part)
-            _check_event_size(splitter)
-            if not events:
-                continue
-            if not self._exchange.is_started:
-                self._start(head)
-            await self._write(events)
-        self._check_stream_end(head, splitter)
-        if not self._exchange.is_started:
-            self._start(head)
-        self._exchange.finish()
-
-    def _check_stream_end(
-        self, head: upstream.ResponseHead, splitter: eventstream.EventSplitter
-    ) -> None:
-        """Checks that a stream may have ended where its server ended it.
-
-        Raises:
-            errors.BackendServerFailedError: The stream was broken off, or the response
-                to the caller would state an end that the server did not state.
-        """
-        detail = ""
-        if splitter.incomplete_bytes:
-            detail = f"stream ended {splitter.incomplete_bytes} bytes into an event"
-        elif head.framing is upstream.Framing.CONNECTION:
-            if not splitter.attempt_has_events:
-                detail = "connection closed before the first event"
-            elif self._exchange.is_started and not self._exchange.is_close_delimited:
-                detail = "connection closed, which does not confirm the stream's end"
-        if detail:
-            raise errors.BackendServerFailedError(detail, "read answer")
-
-    def _note_settled(self, now: float) -> None:
-        """Records that the attempt's answer did not crash its server."""
-        if not self._is_settled and self._parts:
-            self._is_settled = True
-            parts = self._shared.crashdetector.parts
-            parts.note_settled(self._parts, self._suspicions, now)
-
-    async def _write(self, part: bytes) -> None:
-        now = clock.read_clock()
-        if self._first_written_at is None:
-            self._first_written_at = now
-        elif now - self._first_written_at >= partdetector.SETTLED_S:
-            self._note_settled(now)
-        gap_s = self._record.note_part(now)
-        self._shared.note_gap(self._service, gap_s)
-        self._shared.progress.note_part(self._service, self._server, now)
-        await self._exchange.write(part)
-
-    def _start(self, head: upstream.ResponseHead) -> None:
-        forwarded_headers = tornado.httputil.HTTPHeaders()
-        for name, text in headers.strip_hop_by_hop(head.headers):
-            forwarded_headers.add(name, text)
-        if self._splitter is not None:
-            # Another server may send the rest of the stream, of any length.
-            forwarded_headers.pop("Content-Length", None)
-        self._record.first_part_at = clock.read_clock()
-        is_close_delimited = head.framing is upstream.Framing.CONNECTION
-        self._exchange.start(
-            head.status, head.reason, forwarded_headers, is_close_delimited
-        )
+    # Endings.
 
     def _give_up(
         self, reason: work.RefusalReason, detail: str = ""
@@ -633,15 +487,3 @@
         index, host = self._shared.index, self._exchange.headers.get("Host", "")
         route = index.find_route(host, self._exchange.target) if index else None
         return route.name if route else ""
-
-
-def _check_event_size(splitter: eventstream.EventSplitter) -> None:
-    """Checks the size of an event that is not complete yet.
-
-    Raises:
-        errors.BackendServerFailedError: It is over the size limit.
-    """
-    if splitter.is_oversized:
-        limit = eventstream.EVENT_MAX_BYTES
-        message = f"event larger than {limit} bytes"
-        raise errors.BackendServerFailedError(message, "read answer")
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -23,11 +23,13 @@
     requestoutcomes,
     rosterview,
     routeindex,
+    servercandidates,
     serverchoice,
+    serverselection,
     serverstatements,
     waitforecast,
 )
-from lycheegauge.internal.daemons import forwardedrequest, loadsharing, silencewatch
+from lycheegauge.internal.daemons import loadsharing, silencewatch
 from lycheegauge.internal.protocol import (
     changes,
     controlcalls,
@@ -35,7 +37,7 @@
     routetables,
     work,
 )
-from lycheegauge.internal.transport import clock, ingress, upstream
+from lycheegauge.internal.transport import clock, upstream
 
 RETRY_AFTER_S = {
     work.RefusalReason.LEASE_EXPIRED: 0.5,
@@ -56,10 +58,6 @@
 """Time after the first route table in which a host may still lack servers, in
 seconds."""
 
-CONNECTIONS_FRACTION = 0.8
-"""Fraction of a server's connection limit that all entry hosts together use. The
-server resets connections beyond its limit, and probes and other callers need some."""
-
 PROGRESS_RETENTION_S = 10.0
 """How long the time of a server's last output is kept, in seconds; longer than a
 request takes."""
@@ -102,12 +100,20 @@
         self.index: routeindex.RouteIndex | None = None
         self.pool = upstream.ConnectionPool()
         self.random_source = random.Random()
-        self.choice = serverchoice.ServerChoice(self.random_source)
+        self.choice = serverchoice.ServerChoice()
         self.cold_limiter = coldratelimit.ColdRateLimiter()
         self.statements = serverstatements.ServerStatements(self.random_source)
         self.share = hostshares.HostShareHolder(
             part.repeats.window_s + repeatbudget.TRANSIT_S
         )
+        self._candidates = servercandidates.ServerCandidates(
+            view,
+            self.choice,
+            self.statements,
+            self.cold_limiter,
+            self.share,
+            self._count_connections,
+        )
         self.progress = progress.ServerProgress()
         self.crashdetector = crashdetector.CrashDetector()
         self.outcomes = requestoutcomes.RequestOutcomes()
@@ -124,21 +130,6 @@
         self._budgets: dict[str, repeatbudget.RepeatBudget] = {}
         self._forecasts: dict[str, waitforecast.WaitForecast] = {}
 
-    def handle(self, exchange: ingress.Exchange) -> None:
-        """Starts the forwarding of one request."""
-        request = forwardedrequest.ForwardedRequest(self, exchange)
-        task = asyncio.create_task(request.run())
-        self.running.add(task)
-        task.add_done_callback(self._finish_task)
-        exchange.call_on_disconnect(task.cancel)
-
-    def _finish_task(self, task: asyncio.Task[None]) -> None:
-        self.running.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            loguru.logger.opt(exception=task.exception()).error(
-                "unexpected error while forwarding a request"
-            )
-
     async def wait_for_update(self, max_wait_s: float) -> bool:
         """Waits for the next update, if this host has only just started.
 
@@ -310,14 +301,6 @@
         """Tells whether a request must not run, since it crashed servers before."""
         return self.crashdetector.get_verdict(fingerprint) is crashes.Verdict.REFUSED
 
-    def can_connect(self, server: roster.ServerListing, connections_max: int) -> bool:
-        """Tells whether this host may use another of a server's connections."""
-        if not connections_max or self.pool.has_idle(server.incarnation):
-            return True
-        fraction = self.share.get_fraction(clock.read_clock())
-        share = int(connections_max * CONNECTIONS_FRACTION * fraction)
-        return self.pool.count_open(server.incarnation) < max(1, share)
-
     def has_server(self, service: str) -> bool:
         """Tells whether any server of a service may receive work."""
         return bool(self._list_usable(service, clock.read_clock()))
@@ -335,46 +318,47 @@
         self, service: str, tried: set[str]
     ) -> roster.ServerListing | forwardrules.GivenUp:
         """Chooses a server for a request, or returns why there is none."""
+        selection = self.select_server(service, tried)
+        if selection.chosen is None:
+            return self._refuse_selection(selection)
+        server = selection.chosen.server
+        if selection.chosen.is_cold:
+            self.cold_limiter.take(server.name)
+        self.statements.take(server.incarnation)
+        return server
+
+    def select_server(self, service: str, tried: set[str]) -> serverselection.Selection:
+        """Decides where a request may be sent; changes nothing."""
         assert self.index is not None
-        now = clock.read_clock()
-        declared = self.index.services[service]
-        usable = self._list_usable(service, now)
-        if not usable:
-            return self.refuse(work.RefusalReason.NO_BACKEND_SERVER)
-        willing = [s for s in usable if self.statements.may_send(s.incarnation, now)]
-        if not willing:
-            return self._refuse_by_wait(usable, now)
-        usable = willing
-        usable = [s for s in usable if self.can_connect(s, declared.connections_max)]
-        if not usable:
-            return self.refuse(work.RefusalReason.BACKEND_SERVERS_FULL)
-        usable = [server for server in usable if not server.silent] or usable
-        interval = self.share.get_interval(now)
-        within_limits = [
-            s
-            for s in usable
-            if self.statements.is_within_limit(s.incarnation, interval, now)
-        ]
-        if not within_limits:
-            return self._refuse_by_limit(usable)
-        untried = [s for s in within_limits if s.name not in tried] or within_limits
-        allowed = [s for s in untried if self._allows_cold_request(s, declared, now)]
-        if not allowed:
-            return self.refuse(work.RefusalReason.COLD_LIMIT)
-        chosen = self.choice.choose(allowed, declared.slots, now)
-        assert chosen is not None
-        if self._is_cold(chosen, declared, now):
-            self.cold_limiter.take(chosen.name)
-        self.statements.take(chosen.incarnation)
-        return chosen
+        candidates = self._candidates.collect(
+            self.index.services[service], tried, clock.read_clock()
+        )
+        return serverselection.select_server(
+            candidates, self.choice.has_recent_news, self.random_source
+        )
+
+    def _count_connections(self, incarnation: str) -> int:
+        """Counts this host's connections to a server; -1 if one of them is idle."""
+        if self.pool.has_idle(incarnation):
+            return -1
+        return self.pool.count_open(incarnation)
+
+    def _refuse_selection(
+        self, selection: serverselection.Selection
+    ) -> forwardrules.GivenUp:
+        """Builds the refusal of a request that no server may get now."""
+        assert selection.refusal is not None
+        if selection.refusal is work.RefusalReason.SERVER_WAIT:
+            return self._refuse_by_wait(selection.remaining)
+        if selection.refusal is work.RefusalReason.SERVER_LIMIT:
+            return self._refuse_by_limit(selection.remaining)
+        return self.refuse(selection.refusal)
 
     def _refuse_by_limit(
-        self, servers: list[roster.ServerListing]
+        self, servers: tuple[serverselection.Candidate, ...]
     ) -> forwardrules.GivenUp:
         """Refuses a request until one of the servers takes another one."""
-        shortest_s = min(
-            self.statements.get_limit_interval_s(s.incarnation) for s in servers
-        )
+        shortest_s = min(server.limit_interval_s for server in servers)
         after_s = min(LIMIT_RETRY_AFTER_MAX_S, shortest_s)
         return forwardrules.give_up(
             work.RefusalReason.SERVER_LIMIT,
@@ -384,12 +368,10 @@
         )
 
     def _refuse_by_wait(
-        self, servers: list[roster.ServerListing], now: float
+        self, servers: tuple[serverselection.Candidate, ...]
     ) -> forwardrules.GivenUp:
         """Refuses a request until the first of the servers wants requests again."""
-        shortest_s = min(
-            self.statements.get_wait_s(s.incarnation, now) for s in servers
-        )
+        shortest_s = min(server.wait_s for server in servers)
         after_s = max(WAIT_RETRY_AFTER_MIN_S, shortest_s)
         after_s += self.random_source.uniform(0.0, RETRY_SPREAD_S)
         return forwardrules.give_up(
@@ -509,28 +491,6 @@
         after_s = RETRY_AFTER_S.get(reason, DEFAULT_RETRY_AFTER_S)
         return forwardrules.give_up(reason, work.RunState.NOT_RUN, after_s, detail)
 
-    def _is_cold(
-        self,
-        server: roster.ServerListing,
-        declared: routetables.ServiceDeclaration,
-        now: float,
-    ) -> bool:
-        is_cold = now < self.view.get_cold_until(server.name)
-        return declared.cold_rate > 0 and is_cold
-
-    def _allows_cold_request(
-        self,
-        server: roster.ServerListing,
-        declared: routetables.ServiceDeclaration,
-        now: float,
-    ) -> bool:
-        if not self._is_cold(server, declared, now):
-            return True
-        fraction = self.share.get_fraction(now)
-        return self.cold_limiter.may_take(
-            server.name, declared.cold_rate, fraction, now
-        )
-
     async def close(self) -> None:
         """Cancels all requests and closes all connections."""
         tasks = [*self.running, *self._probes.values()]
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -16,6 +16,7 @@
     loadsharing,
     metricslistener,
     reloading,
+    requestintake,
     rosterclient,
 )
 from lycheegauge.internal.protocol import controlcalls, roster
@@ -52,7 +53,8 @@
         self._pool = peers.ChannelPool()
         seeds = rosterclient.list_seed_peers(part.roster, part.peer_address)
         self._client = rosterclient.RosterClient(self._pool, seeds, part.peer_address)
-        self._ingress = ingress.Ingress(self.forwarder.handle, part.limits.body_bytes)
+        intake = requestintake.RequestIntake(self.forwarder)
+        self._ingress = ingress.Ingress(intake.handle, part.limits.body_bytes)
         self._callers = web.Listener(part.caller_address, self._ingress, part.limits)
         self._readiness = web.Listener(
             part.readiness_address,
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -1,15 +1,11 @@
 """Logs the events of one forwarded request, with the inputs to each decision."""
 
-import typing
-
 from lycheegauge.internal import events
 from lycheegauge.internal.coordination import forwardrules
+from lycheegauge.internal.daemons import forwarder
 from lycheegauge.internal.protocol import roster, routetables
 from lycheegauge.internal.transport import clock, upstream
 
-if typing.TYPE_CHECKING:
-    from lycheegauge.internal.daemons import forwarder
-
 
 class RequestRecord:
     """Holds what the log events of one request have in common.
@@ -24,7 +20,7 @@
     """
 
     def __init__(
-        self, shared: "forwarder.Forwarder", request_id: str, arrived_at: float
+        self, shared: forwarder.Forwarder, request_id: str, arrived_at: float
     ) -> None:
         self.first_part_at: float | None = None
         self._last_part_at: float | None = None
--- /dev/null
+++ b/src/lycheegauge/internal/daemons/responseforwarding.py
@@ -0,0 +1,214 @@
+"""Passes a backend server's response on to the caller of one request."""
+
+import tornado.httputil
+
+from lycheegauge import errors
+from lycheegauge.internal.coordination import eventstream, headers, partdetector
+from lycheegauge.internal.daemons import forwarder, requestrecord
+from lycheegauge.internal.protocol import routetables
+from lycheegauge.internal.transport import clock, ingress, upstream
+
+OK = 200
+EVENT_STREAM_TYPE = "text/event-stream"
+BUFFERED_BODY_MAX_BYTES = 262_144
+"""A non-streamed response up to this size is buffered completely before it is
+forwarded, so that the request can still be repeated if the response is cut off."""
+
+
+class ResponseForwarder:
+    """Forwards the responses to one request, of which the caller gets a single one.
+
+    Attributes:
+        splitter: The events of a stream that another server can resume; ``None``
+            before the first attempt at one.
+        is_settled: Whether the attempt's answer did not crash its server.
+
+    Args:
+        shared: The state shared by all requests of the entry host.
+        exchange: The request and its response to the caller.
+        record: Logs the request's events.
+    """
+
+    def __init__(
+        self,
+        shared: forwarder.Forwarder,
+        exchange: ingress.Exchange,
+        record: requestrecord.RequestRecord,
+    ) -> None:
+        self._shared = shared
+        self._exchange = exchange
+        self._record = record
+        self._service = ""
+        self._server = ""
+        self._parts: tuple[str, ...] = ()
+        self._suspicions: partdetector.Suspicions = {}
+        self._first_written_at: float | None = None
+        self.splitter: eventstream.EventSplitter | None = None
+        self.is_settled = False
+
+    @property
+    def last_event_id(self) -> str:
+        """The id of the last whole event that was passed on; empty for none."""
+        return self.splitter.last_id if self.splitter else ""
+
+    def begin_attempt(self, service: str, server: str, parts: tuple[str, ...]) -> None:
+        """Prepares for the response of another server.
+
+        Args:
+            service: The request's service.
+            server: The server's name.
+            parts: The parts that the request's prompt shares with others.
+        """
+        self._service, self._server, self._parts = service, server, parts
+        detector = self._shared.crashdetector.parts
+        self._suspicions = detector.list_suspicions(parts)
+        self.is_settled, self._first_written_at = False, None
+
+    async def forward(
+        self,
+        route: routetables.Route,
+        head: upstream.ResponseHead,
+        connection: upstream.UpstreamConnection,
+    ) -> None:
+        """Forwards a response to its regular end.
+
+        Raises:
+            errors.BackendServerFailedError: The response is incomplete or malformed.
+        """
+        if not is_event_stream(route, head):
+            await self._forward_plain(head, connection)
+        elif route.repetition.is_idempotent:
+            await self._forward_events(head, connection)
+        else:
+            await self._forward_parts(head, connection)
+        self._shared.metrics.count_answer(self._service)
+
+    def note_settled(self, now: float) -> None:
+        """Records that the attempt's answer did not crash its server."""
+        if not self.is_settled and self._parts:
+            self.is_settled = True
+            detector = self._shared.crashdetector.parts
+            detector.note_settled(self._parts, self._suspicions, now)
+
+    async def _forward_plain(
+        self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
+    ) -> None:
+        buffered = bytearray()
+        while part := await connection.read_chunk():
+            if self._exchange.is_started:
+                await self._write(part)
+                continue
+            buffered += part
+            if len(buffered) > BUFFERED_BODY_MAX_BYTES:
+                self._start(head)
+                await self._write(bytes(buffered))
+        if not self._exchange.is_started:
+            self._start(head)
+            if buffered:
+                await self._write(bytes(buffered))
+        self._exchange.finish()
+
+    async def _forward_parts(
+        self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
+    ) -> None:
+        """Forwards a stream that no other server can resume, as its bytes arrive."""
+        splitter = eventstream.EventSplitter()
+        while part := await connection.read_chunk():
+            splitter.feed(part)
+            _check_event_size(splitter)
+            if not self._exchange.is_started:
+                self._start(head)
+            await self._write(part)
+        self._check_stream_end(head, splitter)
+        if not self._exchange.is_started:
+            self._start(head)
+        self._exchange.finish()
+
+    async def _forward_events(
+        self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
+    ) -> None:
+        """Forwards complete events only, so that another server can resume a stream."""
+        if self.splitter is None:
+            name = self._shared.dialect.headers.last_event_id
+            last_id = self._exchange.headers.get(name, "")
+            self.splitter = eventstream.EventSplitter(last_id)
+        splitter = self.splitter
+        splitter.begin_attempt()
+        while part := await connection.read_chunk():
+            events = splitter.feed(part)
+            _check_event_size(splitter)
+            if not events:
+                continue
+            if not self._exchange.is_started:
+                self._start(head)
+            await self._write(events)
+        self._check_stream_end(head, splitter)
+        if not self._exchange.is_started:
+            self._start(head)
+        self._exchange.finish()
+
+    def _check_stream_end(
+        self, head: upstream.ResponseHead, splitter: eventstream.EventSplitter
+    ) -> None:
+        """Checks that a stream may have ended where its server ended it.
+
+        Raises:
+            errors.BackendServerFailedError: The stream was broken off, or the response
+                to the caller would state an end that the server did not state.
+        """
+        detail = ""
+        if splitter.incomplete_bytes:
+            detail = f"stream ended {splitter.incomplete_bytes} bytes into an event"
+        elif head.framing is upstream.Framing.CONNECTION:
+            if not splitter.attempt_has_events:
+                detail = "connection closed before the first event"
+            elif self._exchange.is_started and not self._exchange.is_close_delimited:
+                detail = "connection closed, which does not confirm the stream's end"
+        if detail:
+            raise errors.BackendServerFailedError(detail, "read answer")
+
+    async def _write(self, part: bytes) -> None:
+        now = clock.read_clock()
+        if self._first_written_at is None:
+            self._first_written_at = now
+        elif now - self._first_written_at >= partdetector.SETTLED_S:
+            self.note_settled(now)
+        gap_s = self._record.note_part(now)
+        self._shared.note_gap(self._service, gap_s)
+        self._shared.progress.note_part(self._service, self._server, now)
+        await self._exchange.write(part)
+
+    def _start(self, head: upstream.ResponseHead) -> None:
+        forwarded_headers = tornado.httputil.HTTPHeaders()
+        for name, text in headers.strip_hop_by_hop(head.headers):
+            forwarded_headers.add(name, text)
+        if self.splitter is not None:
+            # Another server may send the rest of the stream, of any length.
+            forwarded_headers.pop("Content-Length", None)
+        self._record.first_part_at = clock.read_clock()
+        is_close_delimited = head.framing is upstream.Framing.CONNECTION
+        self._exchange.start(
+            head.status, head.reason, forwarded_headers, is_close_delimited
+        )
+
+
+def is_event_stream(route: routetables.Route, head: upstream.ResponseHead) -> bool:
+    """Tells whether a response is an event stream that the route allows."""
+    media_type = head.get("content-type").partition(";")[0].strip().lower()
+    return (
+        route.repetition.is_stream
+        and head.status == OK
+        and media_type in ("", EVENT_STREAM_TYPE)
+    )
+
+
+def _check_event_size(splitter: eventstream.EventSplitter) -> None:
+    """Checks the size of an event that is not complete yet.
+
+    Raises:
+        errors.BackendServerFailedError: It is over the size limit.
+    """
+    if splitter.is_oversized:
+        limit = eventstream.EVENT_MAX_BYTES
+        message = f"event larger than {limit} bytes"
+        raise errors.BackendServerFailedError(message, "read answer")
--- a/tests/steps/forwarding.py
+++ b/tests/steps/forwarding.py
@@ -22,6 +22,7 @@
     rosterregistry,
     routeindex,
     serverchoice,
+    serverselection,
     waitforecast,
 )
 from lycheegauge.internal.coordination.groups import copytiming, demand, evensplit
@@ -145,6 +146,20 @@
     ]
 
 
+def choose_server(host, servers, now, source):
+    """Chooses a server with six slots by a host's view."""
+    candidates = [
+        serverselection.Candidate(
+            server,
+            host.estimate(server, 6, now),
+            has_failed=host.has_failed(server.name, now),
+        )
+        for server in servers
+    ]
+    selection = serverselection.select_server(candidates, host.has_recent_news, source)
+    return selection.chosen.server
+
+
 def simulate_crowd(choose, seed):
     """Simulates a crowd on 12 servers; returns the fullest server's mean load.
 
@@ -152,7 +167,7 @@
     """
     source = random.Random(seed)
     servers = make_servers(12)
-    hosts = [serverchoice.ServerChoice(random.Random(seed + n)) for n in range(HOSTS)]
+    hosts = [serverchoice.ServerChoice() for _ in range(HOSTS)]
     running = []
     fullest, now, told_at = [], 0.0, 0.0
     while now < 60.0:
@@ -176,7 +191,7 @@
     "the fullest server has fewer requests than with random choice (flash crowd)"
 )
 def check_crowd(context):
-    informed = simulate_crowd(lambda host, s, now, source: host.choose(s, 6, now), 5)
+    informed = simulate_crowd(choose_server, 5)
     at_random = simulate_crowd(lambda host, s, now, source: source.choice(s), 5)
     print(
         f"figure: fullest of 12 servers at 4 requests each on average: "
@@ -217,7 +232,7 @@
     """Returns the fraction of requests that wait while another server has room."""
     source = random.Random(seed)
     servers = make_servers(12)
-    hosts = [serverchoice.ServerChoice(random.Random(seed + n)) for n in range(HOSTS)]
+    hosts = [serverchoice.ServerChoice() for _ in range(HOSTS)]
     running, load = [], collections.Counter()
     sent = avoidable_waits = number = 0
     now = told_at = pulled_at = 0.0
@@ -234,7 +249,7 @@
             pulled_at = now
             pull_counts(hosts, now)
         host = source.randrange(HOSTS)
-        name = hosts[host].choose(servers, 6, now).name
+        name = choose_server(hosts[host], servers, now, source).name
         sent += 1
         avoidable_waits += load[name] >= 6 and min(load[s.name] for s in servers) < 6
         load[name] += 1
@@ -299,7 +314,7 @@
             for n, address in enumerate(addresses)
         ]
         crowded = False
-        choices = [serverchoice.ServerChoice(random.Random(n)) for n in range(2)]
+        choices = [serverchoice.ServerChoice() for _ in range(2)]
         sharings = [
             loadsharing.LoadSharing(
                 f"h{n}", addresses[n], choices[n], lambda: listed, lambda _: crowded
@@ -403,7 +418,7 @@
 
 @behave.then("a failing server is excluded and tried again")
 def check_backoff(context):
-    choice = serverchoice.ServerChoice(random.Random(1))
+    choice, source = serverchoice.ServerChoice(), random.Random(1)
     first, second = make_servers(2)
     previous, now = 0.0, 0.0
     for _ in range(4):
@@ -411,11 +426,13 @@
         assert out_s > previous
         previous = out_s
         for _ in range(20):
-            assert choice.choose([first, second], 6, now) is second
+            assert choose_server(choice, [first, second], now, source) is second
         # If it is the only server, it is still tried.
-        assert choice.choose([first], 6, now) is first
+        assert choose_server(choice, [first], now, source) is first
         now += out_s
-    names = {choice.choose([first, second], 6, now).name for _ in range(50)}
+    names = {
+        choose_server(choice, [first, second], now, source).name for _ in range(50)
+    }
     assert first.name in names
     choice.note_success(first.name)
     assert choice.note_failure(first.name, now) == serverchoice.INITIAL_BACKOFF_S
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -20,6 +20,7 @@
     forwardedrequest,
     lifecycle,
     requestrecord,
+    responseforwarding,
     workmeter,
 )
 from lycheegauge.internal.protocol import routetables, work
@@ -122,9 +123,10 @@
         "run": "write_cancelled",
     }.items():
         assert event in inspect.getsource(getattr(request, ending)), ending
+    response = responseforwarding.ResponseForwarder
     finishing = [
         name
-        for name, method in vars(request).items()
+        for name, method in (*vars(request).items(), *vars(response).items())
         if inspect.isfunction(method)
         and any(
             call in inspect.getsource(method)
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -9,7 +9,7 @@
 
 from lycheegauge import metrics, settings
 from lycheegauge.internal.coordination import rosterview
-from lycheegauge.internal.daemons import callerdrain, forwarder
+from lycheegauge.internal.daemons import callerdrain, forwarder, requestintake
 from lycheegauge.internal.protocol import controlcalls, freshness, nativedialect, roster
 from lycheegauge.internal.transport import clock, ingress, web
 
@@ -108,7 +108,8 @@
         self._view = rosterview.RosterView(LEASE_S)
         dialect = controlcalls.get_dialect("native")
         self.forwarder = forwarder.Forwarder(part, self._view, dialect, self._counters)
-        listened = ingress.Ingress(self.forwarder.handle, part.limits.body_bytes)
+        intake = requestintake.RequestIntake(self.forwarder)
+        listened = ingress.Ingress(intake.handle, part.limits.body_bytes)
         self._listener = web.Listener(part.caller_address, listened, part.limits)
         self._drain = callerdrain.CallerDrain(self.forwarder, listened, self._listener)
         self.address = ""
