Try a server again when no caller outlasts the wait that it asked for

One answer with Retry-After: took a sound server out for 60 s, a round number that no caller needs: those who ask now are gone after their route's timeout. The wait is now at most the longest timeout of the routes in force; then a single request tries the server, and if it asks again the wait doubles, so that a server that means it is asked less and less (twice within 30 s at 8 s). Waits within the callers' deadline are kept in full.

--- a/src/lycheegauge/internal/coordination/serverstatements.py
+++ b/src/lycheegauge/internal/coordination/serverstatements.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 
 from lycheegauge.internal.coordination import serverlimits
@@ -26,6 +27,10 @@
 """Hosts add a random part of a server's wait, at most this long, so that they don't all
 come back to it at the same moment."""
 
+REPEATS_MAX = 16
+"""Doublings of a wait that a server asks for again and again; more would exceed
+``WAIT_MAX_S`` in any case."""
+
 LEAVING_SERVERS_MAX = 10_000
 """Leaving servers that are remembered; the earliest ones are forgotten first."""
 
@@ -81,11 +86,13 @@
     """The time for which a server wants no request.
 
     After its end a single request tries the server, until an answer shows that it takes
-    requests again.
+    requests again. ``repeats`` counts the longer waits that it asked for in a row and
+    that were cut short.
     """
 
     ends_at: float
     is_trying: bool = False
+    repeats: int = 0
 
 
 class ServerStatements:
@@ -97,11 +104,21 @@
 
     def __init__(self, random_source: random.Random) -> None:
         self._random = random_source
+        self._longest_deadline_s = WAIT_MAX_S
         self._limits = serverlimits.ServerLimits()
         self._leaving: dict[str, roster.Departure] = {}
         self._unreported: dict[str, roster.Departure] = {}
         self._waits: dict[str, _Wait] = {}
 
+    def set_longest_deadline(self, deadline_s: float) -> None:
+        """Sets how long any caller waits at most, in seconds.
+
+        A server may ask for more by mistake. After that time nobody is left to whom
+        the wait matters, so a single request tries the server; if it asks again, the
+        wait is doubled.
+        """
+        self._longest_deadline_s = min(WAIT_MAX_S, deadline_s)
+
     def note_answer(
         self,
         server: roster.ServerListing,
@@ -131,10 +148,15 @@
     def _note_wait(self, key: str, wait_s: float, now: float) -> None:
         wait = self._waits.get(key)
         if wait_s > 0.0:
+            repeats = wait.repeats if wait is not None else 0
+            is_over = wait is None or now >= wait.ends_at
+            longest_s = math.ldexp(self._longest_deadline_s, min(repeats, REPEATS_MAX))
+            if wait_s > longest_s:
+                wait_s, repeats = longest_s, repeats + is_over
             spread_s = min(SPREAD_MAX_S, wait_s * SPREAD_FRACTION)
             ends_at = now + wait_s + self._random.uniform(0.0, spread_s)
             if wait is None or ends_at > wait.ends_at:
-                self._waits[key] = _Wait(ends_at)
+                self._waits[key] = _Wait(ends_at, repeats=repeats)
         elif wait is not None and now >= wait.ends_at:
             del self._waits[key]
 
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -250,6 +250,10 @@
             )
             return
         self.index = routeindex.RouteIndex(read.unwrap())
+        routes = self.index.table.routes
+        self.statements.set_longest_deadline(
+            max((route.timeout_s for route in routes), default=math.inf)
+        )
         self._settled_at = min(self._settled_at, clock.read_clock() + SETTLING_TIME_S)
         loguru.logger.info("route table in force", version=document.version)
 
--- a/tests/failures/serverstatements.feature
+++ b/tests/failures/serverstatements.feature
@@ -65,3 +65,15 @@
   # (retry storm).
   Scenario: Hosts do not return to a server at the same moment (retry storm)
     Then 96 hosts that were told 2 seconds at once send at most 30 requests in any 0.1 s
+
+  # Guards against one malformed header that takes a sound server out for a minute.
+  Scenario Outline: A wait that no caller outlasts ends with the callers' deadline
+    Then a server with Retry-After <text> is tried <deadline_s> s after its answer, and later while it repeats it
+
+    Examples:
+      | text        | deadline_s |
+      | 99999999999 | 8          |
+      | 3600        | 3          |
+
+  Scenario: A wait within the callers' deadline is kept in full
+    Then a server with Retry-After 5 is left alone for 5 s when callers wait for 8 s
--- a/tests/steps/serverstatements.py
+++ b/tests/steps/serverstatements.py
@@ -299,3 +299,35 @@
     for start in sent:
         count = sum(start <= at < start + window_s for at in sent)
         assert count <= most, (start, count)
+
+
+@behave.then(
+    "a server with Retry-After {text} is tried {deadline_s:d} s after its answer, "
+    "and later while it repeats it"
+)
+def check_deadline(context, text, deadline_s):
+    statements, server, now = make_statements(), make_server(1), 10.0
+    statements.set_longest_deadline(deadline_s)
+    waits = []
+    for _ in range(3):
+        note(statements, server, now, 503, retry_after=text)
+        waits.append(statements.get_wait_s(server.incarnation, now))
+        now += waits[-1]
+        assert statements.may_send(server.incarnation, now)
+    spread_s = serverstatements.SPREAD_MAX_S
+    for wait_s, factor in zip(waits, (1, 2, 4), strict=True):
+        assert factor * deadline_s <= wait_s <= factor * deadline_s + spread_s, waits
+    note(statements, server, now)
+    note(statements, server, now, 503, retry_after=text)
+    assert statements.get_wait_s(server.incarnation, now) <= deadline_s + spread_s
+
+
+@behave.then(
+    "a server with Retry-After {wait_s:d} is left alone for {same_s:d} s when callers "
+    "wait for {deadline_s:d} s"
+)
+def check_kept_wait(context, wait_s, same_s, deadline_s):
+    statements, server = make_statements(), make_server(1)
+    statements.set_longest_deadline(deadline_s)
+    note(statements, server, 10.0, 503, retry_after=str(wait_s))
+    assert not statements.may_send(server.incarnation, 10.0 + 0.99 * same_s)
