Model map switches whose orders are answered with the engine's state

A switch polls all ranks after each phase, although the agent that carried out an order could read its engine's state at once. Before the code relies on such replies, the model has them: a coordinator decides on the states in the answers to its orders, together with older reports of other ranks, and reads only the ranks that did not answer.

--- a/tests/models/mapswitch.feature
+++ b/tests/models/mapswitch.feature
@@ -8,6 +8,11 @@
   Scenario: No pass begins with two maps although reports are late and polls interleave
     Then the map switch uses one map in each pass in random walks with late reports
 
+  # Guards against a decision on states in replies, or on older reports beside them,
+  # that another coordinator's orders or passes have overtaken.
+  Scenario: No pass begins with two maps when orders are answered with the state
+    Then the map switch uses one map in each pass with states in order replies
+
   # Guards against moving the hold from a pass for which other ranks are armed already.
   Scenario: A late report of the holding rank does not move the hold while ranks are armed
     Given a switch of which the holding rank's order to arm was lost with its agent
@@ -26,6 +31,7 @@
       | that ignores orders without an answer      |
       | that never waits for a missing rank        |
       | that trusts late reports                   |
+      | that reads the state of its replies before the order |
 
   Scenario: The loss of a rank before any rank is armed does not stop its group
     Then a pass that is held while another rank is lost is released at once
@@ -36,6 +42,9 @@
   Scenario: A group is released after any faults although reports are late
     Then after any faults the newest coordinator ends the switch with late reports
 
+  Scenario: A group is released after any faults when orders are answered with the state
+    Then after any faults the newest coordinator ends the switch with states in replies
+
   Scenario: Without faults a switch ends with the new map on every rank
     Then an undisturbed map switch reaches the target on every rank
 
--- a/tests/steps/mapswitch.py
+++ b/tests/steps/mapswitch.py
@@ -3,7 +3,7 @@
 import sys
 
 import behave
-from support import explorer, latereports, mapworld
+from support import explorer, latereports, mapworld, orderreplies
 
 from lycheegauge.internal.coordination.groups import mapswitch
 from lycheegauge.internal.daemons import mapcoordination
@@ -24,6 +24,9 @@
     "that trusts late reports": functools.partial(
         latereports.LateWorld, latereports.TrustingSwitch
     ),
+    "that reads the state of its replies before the order": functools.partial(
+        orderreplies.ReplyWorld, reads_first=True
+    ),
     "that never waits for a missing rank": functools.partial(
         mapworld.World, mapworld.IgnoresMissingRanks
     ),
@@ -50,6 +53,28 @@
     assert not walked.problem, (walked.problem, walked.trace)
 
 
+@behave.then("the map switch uses one map in each pass with states in order replies")
+def check_order_replies(context):
+    for faults, seed, walks in ((0, 5, 200), (1, 6, 800), (5, 7, 1500)):
+        walked = explorer.walk(
+            functools.partial(orderreplies.ReplyWorld, faults=faults),
+            random.Random(seed), walks, 400,
+        )  # fmt: skip
+        assert not walked.problem, (faults, walked.problem, walked.trace)
+
+
+@behave.then(
+    "after any faults the newest coordinator ends the switch with states in replies"
+)
+def check_reply_release(context):
+    source = random.Random(3)
+    for _ in range(150):
+        world = orderreplies.ReplyWorld(faults=5)
+        act_at_random(world, source, 200)
+        world.finish_undisturbed()
+        check_ended(world)
+
+
 @behave.then(
     "after any faults the newest coordinator ends the switch with late reports"
 )
