--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import dataclasses
-import math
 import typing
 
 import loguru
@@ -12,6 +11,7 @@
     copytiming,
     demand,
     evensplit,
+    groupstate,
     mapplanning,
     mapswitch,
 )
@@ -48,34 +48,13 @@
 ARM_INTERVAL_S = 0.005
 """While a forward pass may be held, the next poll follows almost immediately."""
 
-HOLD_AHEAD_S = 0.3
-"""Time until the pass that a switch holds is due, in seconds. Arming all ranks takes
-about a third of it. A longer time would delay the switch for the whole group. With a
-shorter one the group stops, and streams whose events are late because of that lose
-more than a better map gains."""
-
 HOLD_AHEAD_ROUNDS = 6.0
 """Minimum time until the held pass is due, in rounds of calls to all ranks: the order
 to hold, a round of orders to arm, and a poll before and after it."""
 
-HOLD_AHEAD_UNRELIABLE_S = 0.8
-"""Replaces HOLD_AHEAD_S while engines leave orders unanswered. Each unanswered order
-costs a time-out, a poll and another order. If one order in ten is lost, half of all
-switches need two repeated orders."""
-
-PACE_CHANGE_FACTOR = 1.5
-"""If a rank's pace changed by this factor, a map planned before gives it far too much
-or too little work and does more harm than good."""
-
 RECENTLY_UNANSWERED_S = 10.0
 """How long an unanswered order counts as recent, in seconds."""
 
-HOLD_AHEAD_STEPS_MIN = 2
-"""The next pass may begin before the order arrives, so it is not the one that is held,
-unless passes are so long that a single one leaves enough time."""
-
-HOLD_AHEAD_STEPS_MAX = 24
-
 URGENT_PHASES = (
     mapswitch.Phase.ARMING,
     mapswitch.Phase.UNDOING,
@@ -83,68 +62,9 @@
 )
 """Phases in which a pass may be held."""
 
-REFERENCE_PASS_FRACTION = 0.55
-"""Fraction of the target pause between events that a pass may take before users
-notice."""
-
-REFERENCE_GAIN = 0.08
-"""Fraction by which a switch must shorten the slowest ranks' part of a pass when a
-pass takes exactly that fraction of the target. The required gain falls with the square
-of the pass time: in a loaded group each ms adds more queueing, and in an idle group
-nobody would notice the gain."""
-
-GAIN_MIN = 0.05
-"""The estimate of demand is not more accurate than this."""
-
-GAIN_MAX = 0.5
-
-REFERENCE_GAIN_PER_COPY = 0.008
-"""Gain that each copied expert must bring, at the same pass time and scaled alike."""
-
-GAIN_PER_COPY_MIN = 0.002
-"""Lower bound for a loaded group: copying an expert slows the group down too."""
-
-GAIN_PER_COPY_MAX = 0.03
-"""Upper bound, so that an idle group still copies the few most popular experts."""
-
-CHOICES_MIN = 20_000.0
-"""Expert choices that an estimate of demand needs; fewer are mostly noise."""
-
-
 _Answer = typing.TypeVar("_Answer")
 
 
-@dataclasses.dataclass(slots=True)
-class _Group:
-    """State of one lock-step group.
-
-    ``placements`` is the map that the group runs, by layer; it is empty while the
-    map is unknown. ``target`` is the map to switch to. ``pass_s`` is the duration of
-    recent passes in seconds. ``unanswered_at`` is the time of the last unanswered
-    order. ``planned_paces`` are the ranks' paces when the target was planned.
-    ``may_copy`` tells whether experts can be copied without making streams late.
-    ``plan_due_at`` is the earliest time of the next plan. ``poll_due_at`` is when an
-    idle group is polled while another one switches. ``logged_phase`` is the
-    phase that was logged last.
-    """
-
-    switch: mapswitch.MapSwitch
-    demand: demand.Demand
-    placements: list[evensplit.Placement]
-    version: int = 0
-    step: int = 0
-    step_at: float = 0.0
-    pass_s: float = 0.0
-    may_copy: bool = True
-    unanswered_at: float = -math.inf
-    plan_due_at: float = -math.inf
-    poll_due_at: float = -math.inf
-    logged_phase: mapswitch.Phase = mapswitch.Phase.IDLE
-    logged_phase_at: float = dataclasses.field(default_factory=clock.read_clock)
-    planned_paces: list[float] = dataclasses.field(default_factory=list)
-    target: list[evensplit.Placement] = dataclasses.field(default_factory=list)
-
-
 @dataclasses.dataclass(slots=True)
 class _Poll:
     """What one poll read of a group.
@@ -201,7 +121,7 @@
     ) -> None:
         self._appointment = appointment
         self._meter = meter
-        self._groups: dict[str, _Group] = {}
+        self._groups: dict[str, groupstate.GroupState] = {}
         self._group_names: dict[str, str] = {}
         self._silent: frozenset[str] = frozenset()
         self._round_s = 0.0
@@ -319,7 +239,7 @@
             if observation is not None
         }
 
-    def _log_phase(self, name: str, group: _Group) -> None:
+    def _log_phase(self, name: str, group: groupstate.GroupState) -> None:
         if group.switch.phase is group.logged_phase:
             return
         now = clock.read_clock()
@@ -340,17 +260,19 @@
         async with self._slots:
             return await call
 
-    def _get_group(self, name: str) -> _Group:
+    def _get_group(self, name: str) -> groupstate.GroupState:
         if name not in self._groups:
-            self._groups[name] = _Group(
-                mapswitch.MapSwitch(self._appointment), demand.Demand(), []
+            self._groups[name] = groupstate.GroupState(
+                mapswitch.MapSwitch(self._appointment),
+                demand.Demand(),
+                clock.read_clock(),
             )
         return self._groups[name]
 
     async def _decide(
         self,
         name: str,
-        group: _Group,
+        group: groupstate.GroupState,
         poll: _Poll,
         experts: routetables.ExpertLayout,
         target_gap_s: float,
@@ -358,17 +280,25 @@
         now, reports = clock.read_clock(), poll.reports
         with self._meter.measure("count_expert_choices"):
             group.demand.add_reports(reports.values(), now)
-        _update_pass_time(group, reports, now)
-        self._update_placements(name, group, reports, experts)
+        group.update_pass_time(reports, now)
+        if group.update_placements(reports, experts):
+            loguru.logger.info("expert map in force", group=name, version=group.version)
         is_unreliable = now - group.unanswered_at < RECENTLY_UNANSWERED_S
-        hold_ahead_s = HOLD_AHEAD_UNRELIABLE_S if is_unreliable else HOLD_AHEAD_S
+        hold_ahead_s = (
+            groupstate.HOLD_AHEAD_UNRELIABLE_S
+            if is_unreliable
+            else groupstate.HOLD_AHEAD_S
+        )
         hold_ahead_s = max(hold_ahead_s, HOLD_AHEAD_ROUNDS * self._round_s)
         # Current reports are needed after the order to hold and after arming.
         hold_ahead_s += 2 * poll.lag_s
         group.switch.set_hold_ahead(
-            _choose_hold_ahead_steps(hold_ahead_s, group.pass_s), hold_ahead_s
+            groupstate.choose_hold_ahead_steps(hold_ahead_s, group.pass_s),
+            hold_ahead_s,
         )
-        if _have_paces_changed(group.planned_paces, _list_paces(reports)):
+        if groupstate.have_paces_changed(
+            group.planned_paces, groupstate.list_paces(reports)
+        ):
             # The planned map assumes the ranks' earlier paces.
             group.planned_paces = []
             if group.switch.abort_preparation(now):
@@ -385,85 +315,42 @@
         group.plan_due_at = planned_at + (planned_at - now) / PLANNING_TIME_FRACTION
         if not is_worthwhile:
             return []
-        target = mapswitch.Target(
-            group.switch.allocate_version(reports),
-            tuple(
-                maporders.LayerPlacement(
-                    tuple(maporders.RankExperts(held) for held in placement)
-                )
-                for placement in group.target
-            ),
-        )
-        group.switch.set_target(target, planned_at)
-        group.planned_paces = _list_paces(reports)
+        group.switch.set_target(group.make_target(reports), planned_at)
+        group.planned_paces = groupstate.list_paces(reports)
         # The reports are as old as planning took, so they don't allow any order.
         return []
 
-    def _update_placements(
-        self,
-        name: str,
-        group: _Group,
-        reports: dict[int, maporders.EngineReport],
-        experts: routetables.ExpertLayout,
-    ) -> None:
-        """Updates the placement that is in force.
-
-        A placement that another coordinator planned is read from the ranks.
-        """
-        versions = {report.map_version for report in reports.values()}
-        if len(versions) != 1:
-            return
-        (version,) = versions
-        if version == group.version and group.placements:
-            return
-        target = group.switch.target_version
-        if version == 0:
-            size = next(iter(reports.values())).size
-            start = evensplit.place_round_robin(experts.experts, size)
-            group.placements = [start] * experts.layers
-        elif version == target and group.target:
-            group.placements = group.target
-        else:
-            group.placements = _collect_placements(reports, experts)
-            if not group.placements:
-                return
-        group.version = version
-        loguru.logger.info("expert map in force", group=name, version=version)
-
     async def _plan(
         self,
         name: str,
-        group: _Group,
+        group: groupstate.GroupState,
         reports: dict[int, maporders.EngineReport],
         experts: routetables.ExpertLayout,
         target_gap_s: float,
     ) -> bool:
         """Plans the next map; returns whether its gain justifies a switch."""
         loads = group.demand.get_layer_loads(experts.layers)
-        if not loads or group.demand.total < CHOICES_MIN:
+        if not loads or group.demand.total < groupstate.CHOICES_MIN:
             return False
-        paces = _list_paces(reports)
+        paces = groupstate.list_paces(reports)
         if len(paces) != len(group.placements[0]):
             return False
-        gain_scale = math.pow(
-            REFERENCE_PASS_FRACTION * target_gap_s / max(group.pass_s, 1e-3), 2
+        gains = groupstate.compute_gain_limits(
+            group.pass_s, target_gap_s, group.may_copy
         )
-        per_copy = REFERENCE_GAIN_PER_COPY * gain_scale
-        per_copy = min(GAIN_PER_COPY_MAX, max(GAIN_PER_COPY_MIN, per_copy))
-        min_gain = min(GAIN_MAX, max(GAIN_MIN, REFERENCE_GAIN * gain_scale))
-        if not group.may_copy:
-            min_gain = max(min_gain, copytiming.URGENT_SWITCH_GAIN)
-        before = _sum_slowest_times(group.placements, loads, paces)
+        before = groupstate.sum_slowest_times(group.placements, loads, paces)
         least = sum(map(sum, loads)) / sum(1.0 / pace for pace in paces)
-        if least > before * (1.0 - min_gain):
+        if least > before * (1.0 - gains.total):
             return False
-        limits = evensplit.PlacementBounds(experts.slots, experts.copies, per_copy)
+        limits = evensplit.PlacementBounds(
+            experts.slots, experts.copies, gains.per_copy
+        )
         plan = await self._search_plan(
             mapplanning.iterate_plans(
                 group.placements, loads, paces, limits, experts.copy_s
             )
         )
-        if plan is None or plan.slowest > before * (1.0 - min_gain):
+        if plan is None or plan.slowest > before * (1.0 - gains.total):
             return False
         group.target = plan.placements
         mean_load = sum(map(sum, loads)) / len(paces)
@@ -498,7 +385,7 @@
 
     async def _send(
         self,
-        group: _Group,
+        group: groupstate.GroupState,
         name: str,
         orders: list[mapswitch.RankOrder],
         rank_addresses: dict[tuple[str, int], str],
@@ -524,41 +411,6 @@
                 group.unanswered_at = now
 
 
-def _sum_slowest_times(
-    placements: collections.abc.Sequence[evensplit.Placement],
-    loads: collections.abc.Sequence[collections.abc.Sequence[float]],
-    paces: collections.abc.Sequence[float],
-) -> float:
-    """Sums the slowest rank's time over all layers."""
-    return sum(
-        evensplit.compute_slowest_time(placement, layer, paces)
-        for placement, layer in zip(placements, loads, strict=True)
-    )
-
-
-def _choose_hold_ahead_steps(hold_ahead_s: float, pass_s: float) -> int:
-    """Chooses how many passes ahead of the current one a switch holds a pass."""
-    steps = math.ceil(hold_ahead_s / pass_s) if pass_s > 0.0 else HOLD_AHEAD_STEPS_MAX
-    min_steps = 1 if pass_s >= HOLD_AHEAD_S else HOLD_AHEAD_STEPS_MIN
-    return min(HOLD_AHEAD_STEPS_MAX, max(min_steps, steps))
-
-
-def _list_paces(reports: dict[int, maporders.EngineReport]) -> list[float]:
-    return [reports[rank].pace for rank in sorted(reports)]
-
-
-def _have_paces_changed(
-    planned: collections.abc.Sequence[float], paces: collections.abc.Sequence[float]
-) -> bool:
-    """Tells whether a map that was planned for certain paces is outdated."""
-    if len(planned) != len(paces):
-        return False
-    return any(
-        max(before, after) > PACE_CHANGE_FACTOR * min(before, after)
-        for before, after in zip(planned, paces, strict=True)
-    )
-
-
 def _stretch_interval(interval_s: float, ranks: int) -> float:
     """Lengthens the interval between polls of a large group."""
     return max(interval_s, ranks / POLL_CALLS_MAX_PER_S)
@@ -578,30 +430,3 @@
             return ARM_INTERVAL_S
         return _stretch_interval(OBSERVE_INTERVAL_S, ranks)
     return ARM_INTERVAL_S if is_arming and has_orders else PREPARE_INTERVAL_S
-
-
-def _update_pass_time(
-    group: _Group, reports: dict[int, maporders.EngineReport], now: float
-) -> None:
-    """Updates the duration of passes; an idle group runs none."""
-    step = max(report.step for report in reports.values())
-    elapsed_s = now - group.step_at
-    if step < group.step or elapsed_s >= OBSERVE_INTERVAL_S / 2:
-        if step > group.step and elapsed_s < 10 * OBSERVE_INTERVAL_S:
-            group.pass_s = elapsed_s / (step - group.step)
-        group.step, group.step_at = step, now
-
-
-def _collect_placements(
-    reports: dict[int, maporders.EngineReport], experts: routetables.ExpertLayout
-) -> list[evensplit.Placement]:
-    """Combines the experts of all ranks; empty unless every rank reported them."""
-    size = next(iter(reports.values())).size
-    if set(reports) != set(range(size)):
-        return []
-    if any(len(report.experts) != experts.layers for report in reports.values()):
-        return []
-    return [
-        tuple(reports[rank].experts[layer].experts for rank in range(size))
-        for layer in range(experts.layers)
-    ]
--- a/tests/steps/engineroutes.py
+++ b/tests/steps/engineroutes.py
@@ -4,7 +4,8 @@
 from support import mapworld
 
 from lycheegauge import errors
-from lycheegauge.internal.daemons import engineroutes, mapcoordination
+from lycheegauge.internal.coordination.groups import groupstate
+from lycheegauge.internal.daemons import engineroutes
 from lycheegauge.internal.protocol import maporders
 from lycheegauge.internal.transport import clock
 
@@ -156,11 +157,9 @@
     for pass_ms in (5, 40, 52, 120, 355, 900):
         pass_s = pass_ms / 1000
         for hold_ahead_s in (
-            mapcoordination.HOLD_AHEAD_S, mapcoordination.HOLD_AHEAD_UNRELIABLE_S
+            groupstate.HOLD_AHEAD_S, groupstate.HOLD_AHEAD_UNRELIABLE_S
         ):  # fmt: skip
-            hold_ahead_steps = mapcoordination._choose_hold_ahead_steps(
-                hold_ahead_s, pass_s
-            )
+            hold_ahead_steps = groupstate.choose_hold_ahead_steps(hold_ahead_s, pass_s)
             assert hold_ahead_steps >= 2 or pass_s >= 0.3, (
                 "the next pass may begin too early"
             )
@@ -174,7 +173,7 @@
 
 @behave.then("a map that was planned before a rank became slow is dropped (slow rank)")
 def check_dropped(context):
-    changed = mapcoordination._have_paces_changed
+    changed = groupstate.have_paces_changed
     assert changed([1.0] * 4, [1.0, 12.0, 1.0, 1.0])
     assert changed([1.0, 12.0], [1.0, 1.0])
     assert not changed([1.0] * 4, [1.1, 1.0, 0.9, 1.0])
