Model a plan between a decision and the orders to prepare

A coordinator of a large group sends the orders to prepare right after planning, with the reports of the decision before.

--- a/tests/support/orderreplies.py
+++ b/tests/support/orderreplies.py
@@ -20,10 +20,12 @@
     Attributes:
         replied: Reports in the answers to the orders under way, by rank.
         may_decide: Whether all reports that a decision needs are there.
+        is_planning: Whether it plans a map, after which it decides on the same reports.
     """
 
     replied: dict = dataclasses.field(default_factory=dict)
     may_decide: bool = False
+    is_planning: bool = False
 
 
 class ReplyWorld(latereports.LateWorld):
@@ -40,6 +42,8 @@
         self.coordinators = [Coordinator(switch_class(1))]
 
     def list_moves(self, number, coordinator):
+        if coordinator.is_planning:
+            return [("step", f"plan {number}")]
         if coordinator.may_decide:
             moves = [("step", f"decide {number}")]
             if not coordinator.orders:
@@ -76,6 +80,20 @@
         orders = self.decide(coordinator)
         coordinator.orders = [(order, None) for order in orders]
 
+    def decide(self, coordinator):
+        switch, reports = coordinator.switch, coordinator.reports
+        orders = switch.decide(reports, self.now, coordinator.as_of)
+        coordinator.is_planning = switch.is_ready and coordinator.targets > 0
+        return orders
+
+    def do_plan(self, number):
+        coordinator = self.coordinators[number]
+        coordinator.is_planning = False
+        # Only the target is set: the orders to prepare follow at once.
+        super().decide(coordinator)
+        orders = super().decide(coordinator)
+        coordinator.orders = [(order, None) for order in orders]
+
     def read(self, coordinator, reports, as_of):
         if coordinator.unread:
             # The report of an unanswered order's rank replaces the earlier one.
