Let engine agents relay a group's calls, answer with the state and plan layers

Agents get three calls: ObserveMany returns the states of several ranks and one sum of their counts, OrderMany carries out orders and returns the state read after each, waiting for copies if asked to, and PlanLayer returns placements of a layer with few to many copies.

--- a/src/lycheegauge/internal/coordination/groups/mapplanning.py
+++ b/src/lycheegauge/internal/coordination/groups/mapplanning.py
@@ -106,15 +106,67 @@
     limits: evensplit.PlacementBounds,
     copy_s: float,
 ) -> MapPlan:
+    work = CopyWork(
+        max(budget.copied) * copy_s,
+        sum(search.count_copied() for search in searches),
+        len(searches),
+    )
     slowest = sum(search.slowest for search in searches)
-    copies = sum(search.count_copied() for search in searches)
-    copying_s = max(budget.copied) * copy_s
-    ready_s = SWITCH_OVERHEAD_S + copying_s
+    timing = Timing(SWITCH_OVERHEAD_S, HORIZON_S)
+    plan = weigh_plan(before, slowest, work, limits.gain_per_copy, timing)
+    placements = [search.get_placement() for search in searches]
+    return dataclasses.replace(plan, placements=placements)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyWork:
+    """The copies that a map needs.
+
+    Attributes:
+        copying_s: Time of the rank that copies the most, in seconds.
+        copies: Experts to copy, on all ranks.
+        layers: The number of layers of the map.
+    """
+
+    copying_s: float
+    copies: int
+    layers: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """What a plan's value depends on beside its copies.
+
+    Attributes:
+        overhead_s: Time that a switch takes beside its copies, in seconds.
+        horizon_s: Time for which the plan counts, in seconds.
+    """
+
+    overhead_s: float
+    horizon_s: float
+
+
+def weigh_plan(
+    before: float,
+    slowest: float,
+    work: CopyWork,
+    gain_per_copy: float,
+    timing: Timing,
+) -> MapPlan:
+    """Weighs a map's gain against the time of its copies; without placements.
+
+    Args:
+        before: The slowest ranks' time now, summed over the layers.
+        slowest: The same with the new map.
+        work: The copies that it needs.
+        gain_per_copy: Gain that each copied expert must bring.
+        timing: The time that a switch takes and for which the plan counts.
+    """
+    ready_s = timing.overhead_s + work.copying_s
     gain = (before - slowest) / before if before else 0.0
     value = (
-        gain * max(0.0, 1.0 - ready_s / HORIZON_S)
-        - (copytiming.COPY_SLOWDOWN - 1.0) * copying_s / HORIZON_S
-        - limits.gain_per_copy * copies / len(searches)
+        gain * max(0.0, 1.0 - ready_s / timing.horizon_s)
+        - (copytiming.COPY_SLOWDOWN - 1.0) * work.copying_s / timing.horizon_s
+        - gain_per_copy * work.copies / work.layers
     )
-    placements = [search.get_placement() for search in searches]
-    return MapPlan(placements, slowest, copies, ready_s, value)
+    return MapPlan([], slowest, work.copies, ready_s, value)
--- a/src/lycheegauge/internal/daemons/engineagent.py
+++ b/src/lycheegauge/internal/daemons/engineagent.py
@@ -1,14 +1,20 @@
 """The agent beside an engine, which reads the engine's state and forwards orders.
 
 It makes no decisions and stores no state, so it can fail at any time without harm.
-It also relays calls to other engines whose own agent the coordinator can't reach.
+It also relays calls to other engines whose own agent the coordinator can't reach, and
+to those of a part of a large group.
 """
 
 import loguru
 
 from lycheegauge import metrics, settings
 from lycheegauge.internal import logs
-from lycheegauge.internal.daemons import engineclient, lifecycle, metricslistener
+from lycheegauge.internal.daemons import (
+    engineclient,
+    grouprelay,
+    lifecycle,
+    metricslistener,
+)
 from lycheegauge.internal.protocol import enginedialects, maporders
 from lycheegauge.internal.transport import peers, services
 
@@ -23,7 +29,17 @@
         self._part = part
         self._dialect = enginedialects.get_dialect(part.dialect)
         self._clients: dict[str, engineclient.EngineClient] = {}
-        service = services.EngineAgentService(self.observe, self.order)
+        self._pool = peers.ChannelPool()
+        self._relay = grouprelay.GroupRelay(
+            part.peer_address, self._get_client(""), self._pool
+        )
+        service = services.EngineAgentService(
+            self.observe,
+            self.order,
+            self._relay.observe_many,
+            self._relay.order_many,
+            self._relay.plan_layer,
+        )
         self._server = peers.PeerServer(part.peer_address, [service])
         self._metrics = metrics.Metrics()
         self._metrics.register_gauge(
@@ -78,6 +94,7 @@
         await self._server.close()
         await self._metrics_listener.close()
         self._metrics.close()
+        self._pool.close()
         for client in self._clients.values():
             client.close()
 
--- a/src/lycheegauge/internal/transport/services.py
+++ b/src/lycheegauge/internal/transport/services.py
@@ -164,9 +164,19 @@
 class EngineAgentService(services_grpc.EngineAgentBase):
     """RPC service of the agent beside an engine for the group's coordinator."""
 
-    def __init__(self, observe: peers.Handler, order: peers.Handler) -> None:
+    def __init__(
+        self,
+        observe: peers.Handler,
+        order: peers.Handler,
+        observe_many: peers.Handler,
+        order_many: peers.Handler,
+        plan_layer: peers.Handler,
+    ) -> None:
         self._observe = observe
         self._order = order
+        self._observe_many = observe_many
+        self._order_many = order_many
+        self._plan_layer = plan_layer
 
     async def Observe(self, stream: typing.Any) -> None:  # noqa: N802
         """Reports the engine's state."""
@@ -175,3 +185,15 @@
     async def Order(self, stream: typing.Any) -> None:  # noqa: N802
         """Forwards an order to the engine."""
         await peers.answer_unary(stream, self._order)
+
+    async def ObserveMany(self, stream: typing.Any) -> None:  # noqa: N802
+        """Reports the states of several engines."""
+        await peers.answer_unary(stream, self._observe_many)
+
+    async def OrderMany(self, stream: typing.Any) -> None:  # noqa: N802
+        """Forwards orders to several engines."""
+        await peers.answer_unary(stream, self._order_many)
+
+    async def PlanLayer(self, stream: typing.Any) -> None:  # noqa: N802
+        """Plans one layer of an expert map."""
+        await peers.answer_unary(stream, self._plan_layer)
