Coordinate the maps of large groups through relays

Smaller groups use mapcoordination as before; two objects never number the orders to one group. The pace of slow ranks reaches entry hosts in ServerListing, on a change by a factor of 1.5.

--- a/src/lycheegauge/internal/coordination/groups/groupstate.py
+++ b/src/lycheegauge/internal/coordination/groups/groupstate.py
@@ -181,11 +181,6 @@
     )
 
 
-def decode_placement(layer: maporders.LayerPlacement) -> evensplit.Placement:
-    """Converts the message of a layer's placement back."""
-    return tuple(tuple(held.experts) for held in layer.ranks)
-
-
 def collect_placements(
     reports: Reports, experts: routetables.ExpertLayout
 ) -> list[evensplit.Placement]:
--- a/src/lycheegauge/internal/coordination/rosterregistry.py
+++ b/src/lycheegauge/internal/coordination/rosterregistry.py
@@ -23,6 +23,9 @@
 PULLS_PER_LEASE_MIN = 3.0
 """Pulls within a lease that must stay possible: two of them may be lost."""
 
+PACE_CHANGE_FACTOR = 1.5
+"""Factor by which a rank's pace must change for hosts to be told."""
+
 MAX_GAPS = 512
 """Reported pauses kept: as many as some tens of hosts report in a few seconds."""
 
@@ -101,6 +104,8 @@
             if conflicting.born_ms > listing.born_ms:
                 return False
             self._remove_server(conflicting.name)
+        if known is not None and known.listing.incarnation == listing.incarnation:
+            listing = dataclasses.replace(listing, pace=known.listing.pace)
         is_changed = known is None or _differs(listing, known.listing)
         if known is None or is_changed:
             self._cursor += 1
@@ -169,6 +174,18 @@
         for name in self._servers:
             self.mark_silent(name, name in silent)
 
+    def update_paces(self, paces: collections.abc.Iterable[roster.ServerPace]) -> None:
+        """Records the slow ranks, unless their paces have hardly changed."""
+        by_name = {item.server: item.pace for item in paces}
+        for name, entry in self._servers.items():
+            before, now = entry.listing.pace or 1.0, by_name.get(name, 0.0) or 1.0
+            if max(before, now) >= PACE_CHANGE_FACTOR * min(before, now):
+                self._cursor += 1
+                entry.listing = dataclasses.replace(
+                    entry.listing, pace=by_name.get(name, 0.0)
+                )
+                entry.changed_cursor = self._cursor
+
     def list_open_elsewhere(self, host: str) -> tuple[roster.OpenRequests, ...]:
         """Sums the open requests per server at all hosts but ``host``."""
         own = {item.server: item.count for item in self._open_requests.get(host, ())}
--- a/src/lycheegauge/internal/daemons/control.py
+++ b/src/lycheegauge/internal/daemons/control.py
@@ -31,7 +31,7 @@
         )
         self._peer_server = peers.PeerServer(part.peer_address, [service])
         application = controlapi.make_application(self.gate.handle, part.limits)
-        self.metrics = metrics.Metrics()
+        self.metrics = self.host.metrics = metrics.Metrics()
         self._register_gauges()
         self._metrics_listener = metricslistener.MetricsListener(
             part.metrics_address, self.metrics, part.limits
--- a/src/lycheegauge/internal/daemons/engineroutes.py
+++ b/src/lycheegauge/internal/daemons/engineroutes.py
@@ -182,6 +182,16 @@
             return maporders.MapOrderOutcome.UNANSWERED
         return reply.outcome
 
+    def is_avoided(self, address: str) -> bool:
+        """Tells whether an engine's agent has failed recently."""
+        return self._list_routes(address)[0] is not EngineRoute.AGENT
+
+    def record_agent_failure(
+        self, address: str, error: errors.LycheegaugeError
+    ) -> None:
+        """Records that an engine's agent did not answer a call made elsewhere."""
+        self._record_failure(address, EngineRoute.AGENT, error)
+
     def _list_routes(self, address: str) -> list[EngineRoute]:
         now = clock.read_clock()
         return sorted(
--- a/src/lycheegauge/internal/daemons/mapkeeping.py
+++ b/src/lycheegauge/internal/daemons/mapkeeping.py
@@ -6,7 +6,7 @@
 
 import loguru
 
-from lycheegauge.internal.daemons import mapcoordination
+from lycheegauge.internal.daemons import mapcoordination, relayedmaps
 from lycheegauge.internal.protocol import (
     controlcalls,
     enginedialects,
@@ -45,6 +45,7 @@
         self._document: roster.RouteDocument | None = None
         self._table = routetables.RouteTable(0, (), ())
         self._coordination: mapcoordination.MapCoordination | None = None
+        self._relayed: relayedmaps.RelayedMaps | None = None
         self._appointment = 0
 
     async def run(self) -> None:
@@ -63,33 +64,50 @@
                         )
                 await asyncio.sleep(wait_s)
         finally:
-            if self._coordination is not None:
-                self._coordination.close()
+            self._close_coordination()
 
-    def _get_coordination(self, appointment: int) -> mapcoordination.MapCoordination:
-        if self._coordination is None or appointment != self._appointment:
-            if self._coordination is not None:
-                self._coordination.close()
+    def _close_coordination(self) -> None:
+        if self._coordination is not None:
+            self._coordination.close()
+        if self._relayed is not None:
+            self._relayed.close()
+
+    def _get_coordination(
+        self, appointment: int
+    ) -> tuple[mapcoordination.MapCoordination, relayedmaps.RelayedMaps]:
+        if (
+            self._coordination is None
+            or self._relayed is None
+            or appointment != self._appointment
+        ):
+            self._close_coordination()
             self._appointment = appointment
             loguru.logger.info("coordinating the expert maps", appointment=appointment)
             _, port = peers.split_address(self._host.address)
+            dialect = enginedialects.get_dialect(self._host.part.dialect)
             self._coordination = mapcoordination.MapCoordination(
+                appointment, self._pool, port, dialect, self._host.meter
+            )
+            self._relayed = relayedmaps.RelayedMaps(
                 appointment,
                 self._pool,
                 port,
-                enginedialects.get_dialect(self._host.part.dialect),
+                dialect,
                 self._host.meter,
+                self._host.part.maps,
+                self._host.record_map_switch,
             )
-        return self._coordination
+        return self._coordination, self._relayed
 
     async def _poll_groups(self, appointment: int) -> float:
         """Polls all groups once; returns the time until the next poll, in seconds."""
-        coordination = self._get_coordination(appointment)
+        coordination, relayed = self._get_coordination(appointment)
         gaps = {
             gap.service: gap.longest_s
             for gap in self._host.list_longest_gaps(clock.read_clock())
         }
         silent: set[str] = set()
+        paces: list[roster.ServerPace] = []
         wait_s = mapcoordination.OBSERVE_INTERVAL_S
         for service in self._list_grouped_services():
             servers = [
@@ -100,11 +118,20 @@
             if not servers:
                 continue
             gap_s = self._find_target_gap(service.name)
-            polled = await coordination.poll_service(
-                service, servers, gap_s, gaps.get(service.name)
-            )
-            wait_s = min(wait_s, polled.wait_s)
-            silent |= polled.silent
+            longest_gap_s = gaps.get(service.name)
+            large = await relayed.poll_service(service, servers, gap_s, longest_gap_s)
+            paces += large.paces
+            parts = [large.polled]
+            if large.small:
+                parts.append(
+                    await coordination.poll_service(
+                        service, large.small, gap_s, longest_gap_s
+                    )
+                )
+            for polled in parts:
+                wait_s = min(wait_s, polled.wait_s)
+                silent |= polled.silent
+        self._host.set_slow_servers(tuple(paces))
         self._host.set_silent_servers(tuple(sorted(silent)))
         return wait_s
 
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -10,7 +10,7 @@
 import loguru
 from returns import result
 
-from lycheegauge import errors, settings
+from lycheegauge import errors, metrics, settings
 from lycheegauge.internal.coordination import (
     mapappointments,
     members,
@@ -116,6 +116,8 @@
         self._appointment: roster.MapAppointment | None = None
         self._appointment_ends_at = 0.0
         self.silent_servers: tuple[str, ...] = ()
+        self.slow_servers: tuple[roster.ServerPace, ...] = ()
+        self.metrics: metrics.Metrics | None = None
         self.view = rosterview.RosterView(part.roster.lease_s)
         self._client = rosterclient.RosterClient(pool, self._seeds, self.address)
         self._tasks: list[asyncio.Task[None]] = []
@@ -318,6 +320,7 @@
         if not request.log_host or self._appointments.appoint(now) != request.log_host:
             return None
         registry.update_silent(request.silent_servers)
+        registry.update_paces(request.paces)
         return roster.MapAppointment(
             self._appointments.number, self.list_longest_gaps(now)
         )
@@ -362,6 +365,17 @@
         if self.task.is_leader:
             self.get_registry().update_silent(names)
 
+    def set_slow_servers(self, paces: tuple[roster.ServerPace, ...]) -> None:
+        """Reports the ranks that take longer than usual for their part of a pass."""
+        self.slow_servers = paces
+        if self.task.is_leader:
+            self.get_registry().update_paces(paces)
+
+    def record_map_switch(self, phase: str, seconds: float) -> None:
+        """Records how long a phase of a switch of an expert map took."""
+        if self.metrics is not None:
+            self.metrics.record_map_switch(phase, seconds)
+
     async def _record_crashes(self, request: roster.RosterPull) -> bool:
         """Commits a host's crash reports; returns whether all are committed."""
         now = clock.read_clock()
@@ -559,6 +573,7 @@
             log_host=self.address,
             log_host_incarnation=self._incarnation,
             silent_servers=self.silent_servers,
+            paces=self.slow_servers,
         )
         reply = await self._client.pull_from(leader, message)
         self.view.apply_reply(pull, reply, clock.read_clock())
--- a/src/lycheegauge/internal/telemetry.py
+++ b/src/lycheegauge/internal/telemetry.py
@@ -19,6 +19,11 @@
     "first_token": "Time to first token",
     "total": "Time to the answer's end",
     "gap": "Longest pause between two parts of an answer",
+    "map_switch_plan": "Time to plan a new expert map",
+    "map_switch_prepare": "Time to copy experts for a new map",
+    "map_switch_arm": "Time to arm all ranks for a new map",
+    "map_switch_undo": "Time to undo a switch to a new map",
+    "map_switch_release": "Time until all ranks have begun a pass with a new map",
 }
 
 
--- a/src/lycheegauge/metrics.py
+++ b/src/lycheegauge/metrics.py
@@ -67,6 +67,10 @@
         """Records the longest pause between two parts of an answer."""
         self._record("gap", seconds)
 
+    def record_map_switch(self, phase: str, seconds: float) -> None:
+        """Records the duration of a phase of a switch of an expert map."""
+        self._record(f"map_switch_{phase}", seconds)
+
     def register_gauge(
         self,
         name: str,
