Bound the bytes that an entry host holds for callers and servers together

A host held whatever its peers did not take: up to a body of each request, twice while a server did not read it, and 256 KiB of each response, without a limit over all. coordination/memorylimits.py decides by the number of bytes held, and transport/bytebudget.py counts them for each request. Connections to servers (boundedupstream.py) hand a body to the system in pieces and read at most 32 KiB at once; the unsent bytes to a caller (callershare.py) stay within its connection's share, and reading from its server pauses above it until the share is half empty. The system's own unsent data is limited to 64 KiB a connection, as it would otherwise take megabytes that no count sees.

When 0.875 of the bound is reached, bodies above 64 KiB are refused as not run, the shares shrink to 16 KiB, and answers without progress for a second are ended, the longest still one first. Nothing passes the bound: what does not fit ends the longest still one at once. Connections that are accepted at 0.95 of it wait unread. A server that breaks off after its caller delayed it for a second is not blamed, and the request is not repeated. With limits.held_bytes 0, the default, nothing is counted.

--- a/src/lycheegauge/internal/daemons/callerdrain.py
+++ b/src/lycheegauge/internal/daemons/callerdrain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from lycheegauge.internal.coordination import memorylimits
 from lycheegauge.internal.daemons import forwarder
 from lycheegauge.internal.transport import ingress, web
 
@@ -51,4 +52,6 @@
             or not connections.is_empty
         ):
             connections.close_idle(QUIET_S)
+            if self._forwarder.budget is not None:
+                self._forwarder.budget.end_stalled(memorylimits.DRAIN_STALLED_S)
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -9,6 +9,7 @@
 from lycheegauge.internal.coordination import (
     forwardrules,
     headers,
+    memorylimits,
     repeatbudget,
     routeindex,
 )
@@ -75,13 +76,15 @@
         self._response = responseforwarding.ResponseForwarder(
             shared, exchange, self._record
         )
+        exchange.call_on_ending(self._note_ending)
 
     async def run(self) -> None:
         """Forwards the request until it is answered or given up."""
         try:
             await self._run()
         except asyncio.CancelledError:
-            self._record.write_cancelled(self._name_route())
+            if self._exchange.ending is None:
+                self._record.write_cancelled(self._name_route())
             self._exchange.abort()
             raise
         except Exception as error:
@@ -118,6 +121,9 @@
 
     def _admit(self) -> forwardrules.GivenUp | None:
         shared = self._shared
+        if self._exchange.is_body_refused:
+            detail = "too many bytes are held for other requests"
+            return shared.refuse(work.RefusalReason.MEMORY_FULL, detail)
         if shared.refuses_requests:
             return shared.refuse(work.RefusalReason.STOPPING)
         if shared.index is None:
@@ -295,6 +301,7 @@
         is_complete = False
         sent_at = self._sent_at = clock.read_clock()
         try:
+            connection.holder = self._exchange.holder
             connection.send(self._make_head(server), self._exchange.body)
             was_run, self._may_have_run = self._may_have_run, True
             self._runs += 1
@@ -323,10 +330,13 @@
             if head.status < REDIRECT_MIN:
                 self._response.note_settled(clock.read_clock())
             shared.crashdetector.record_answered(self._digest_request())
-            served_s = clock.read_clock() - sent_at
+            served_s = clock.read_clock() - sent_at - self._exchange.delayed_s
             shared.get_forecast(self._service).note_served(served_s)
             return None
         except errors.BackendServerFailedError as error:
+            if not memorylimits.may_blame_server(self._exchange.longest_delay_s):
+                self._end_delayed(str(error))
+                return None
             self._record_failure(server, str(error))
             suspected_parts = () if self._response.is_settled else self._parts
             shared.record_broken_attempt(
@@ -441,6 +451,17 @@
 
     # Endings.
 
+    def _note_ending(self) -> None:
+        """Logs that the exchange was ended because of the bound on the bytes held."""
+        assert self._exchange.ending is not None
+        self._record.write_ended(self._name_route(), self._exchange.ending)
+
+    def _end_delayed(self, detail: str) -> None:
+        """Ends a request whose server broke off while its caller did not read."""
+        delayed_s = self._exchange.longest_delay_s
+        detail = f"{detail}, after the caller delayed it for {delayed_s:.1f} s"
+        self._end(self._give_up(work.RefusalReason.CANCELLED, detail))
+
     def _give_up(
         self, reason: work.RefusalReason, detail: str = ""
     ) -> forwardrules.GivenUp:
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -17,6 +17,7 @@
     crashes,
     forwardrules,
     hostshares,
+    memorylimits,
     partdetector,
     progress,
     repeatbudget,
@@ -37,7 +38,12 @@
     routetables,
     work,
 )
-from lycheegauge.internal.transport import clock, upstream
+from lycheegauge.internal.transport import (
+    boundedupstream,
+    bytebudget,
+    clock,
+    upstream,
+)
 
 RETRY_AFTER_S = {
     work.RefusalReason.LEASE_EXPIRED: 0.5,
@@ -47,10 +53,12 @@
     work.RefusalReason.COLD_LIMIT: 0.4,
     work.RefusalReason.RETRY_BUDGET_SPENT: 0.5,
     work.RefusalReason.STOPPING: 0.05,
+    work.RefusalReason.MEMORY_FULL: 1.0,
 }
 """When a refused caller may retry, in seconds: after one or two pulls where the entry
 host lacks state, after about a third of a typical response time where slots are full,
-at once where another entry host can serve."""
+at once where another entry host can serve, and after the time in which stalled answers
+are ended where memory is full."""
 
 DEFAULT_RETRY_AFTER_S = 0.5
 
@@ -98,7 +106,8 @@
         self.dialect = dialect
         self.metrics = counters
         self.index: routeindex.RouteIndex | None = None
-        self.pool = upstream.ConnectionPool()
+        self.budget = make_budget(part.limits)
+        self.pool = boundedupstream.make_pool(self.budget)
         self.random_source = random.Random()
         self.choice = serverchoice.ServerChoice()
         self.cold_limiter = coldratelimit.ColdRateLimiter()
@@ -502,6 +511,17 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.pool.close()
+        if self.budget is not None:
+            self.budget.close()
+
+
+def make_budget(limits: settings.Limits) -> bytebudget.ByteBudget | None:
+    """Creates the bound on the bytes held; ``None`` if the settings have none."""
+    if not limits.held_bytes:
+        return None
+    return bytebudget.ByteBudget(
+        memorylimits.MemoryLimits(limits.held_bytes, limits.connection_bytes)
+    )
 
 
 def _do_nothing() -> None:
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -54,8 +54,11 @@
         seeds = rosterclient.list_seed_peers(part.roster, part.peer_address)
         self._client = rosterclient.RosterClient(self._pool, seeds, part.peer_address)
         intake = requestintake.RequestIntake(self.forwarder)
-        self._ingress = ingress.Ingress(intake.handle, part.limits.body_bytes)
-        self._callers = web.Listener(part.caller_address, self._ingress, part.limits)
+        budget = self.forwarder.budget
+        self._ingress = ingress.Ingress(intake.handle, part.limits.body_bytes, budget)
+        self._callers = web.Listener(
+            part.caller_address, self._ingress, part.limits, budget
+        )
         self._readiness = web.Listener(
             part.readiness_address,
             controlapi.make_application(self._answer_readiness, part.limits),
@@ -129,6 +132,24 @@
             lambda: self.forwarder.statements.count_waiting(clock.read_clock()),
         )
 
+        budget = self.forwarder.budget
+        if budget is not None:
+            self.metrics.register_gauge(
+                "lycheegauge_held_bytes",
+                "Bytes held for callers and servers",
+                lambda: budget.held_bytes,
+            )
+            self.metrics.register_gauge(
+                "lycheegauge_stalled_requests",
+                "Requests that wait for a caller or a server to take or send bytes",
+                lambda: budget.waiting_count,
+            )
+            self.metrics.register_gauge(
+                "lycheegauge_unread_connections",
+                "Accepted connections that are not read yet, as memory is full",
+                self._callers.count_unread,
+            )
+
     @property
     def is_ready(self) -> bool:
         """Whether this host can serve callers now."""
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -4,7 +4,7 @@
 from lycheegauge.internal.coordination import forwardrules
 from lycheegauge.internal.daemons import forwarder
 from lycheegauge.internal.protocol import roster, routetables
-from lycheegauge.internal.transport import clock, upstream
+from lycheegauge.internal.transport import bytebudget, clock, upstream
 
 
 class RequestRecord:
@@ -90,6 +90,11 @@
         self._last_part_at = now
         return gap_s
 
+    def skip_delay(self, delay_s: float) -> None:
+        """Leaves out of the next pause what the caller itself caused, in seconds."""
+        if delay_s and self._last_part_at is not None:
+            self._last_part_at += delay_s
+
     def write_answered(
         self, route: routetables.Route, head: upstream.ResponseHead, runs: int
     ) -> None:
@@ -142,6 +147,24 @@
         )
         shared.outcomes.count(route, given_up.reason.value)
 
+    def write_ended(self, route: str, ending: bytebudget.Ending) -> None:
+        """Logs that the answer was ended to free memory; ``route`` may be empty."""
+        shared = self._shared
+        events.write_event(
+            events.AnswerEnded(
+                self._request_id,
+                route,
+                self._server,
+                self._waited_ms,
+                ending.side.value,
+                ending.held_bytes,
+                round(ending.still_s, 3),
+                ending.ended_before,
+            )
+        )
+        shared.metrics.count_ended_answer(ending.side.value)
+        shared.outcomes.count(route, "ended_for_memory")
+
     def write_cancelled(self, route: str) -> None:
         """Logs that the caller disconnected; ``route`` may be empty."""
         events.write_event(
--- a/src/lycheegauge/internal/daemons/responseforwarding.py
+++ b/src/lycheegauge/internal/daemons/responseforwarding.py
@@ -1,5 +1,7 @@
 """Passes a backend server's response on to the caller of one request."""
 
+import collections
+
 import tornado.httputil
 
 from lycheegauge import errors
@@ -93,21 +95,40 @@
     async def _forward_plain(
         self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
     ) -> None:
-        buffered = bytearray()
+        buffered: collections.deque[bytes] = collections.deque()
+        buffered_bytes = 0
         while part := await connection.read_chunk():
             if self._exchange.is_started:
-                await self._write(part)
+                await self._write(part, connection)
                 continue
-            buffered += part
-            if len(buffered) > BUFFERED_BODY_MAX_BYTES:
+            buffered.append(part)
+            buffered_bytes += len(part)
+            self._exchange.note_buffered(buffered_bytes)
+            if buffered_bytes > self._exchange.limit_buffer(BUFFERED_BODY_MAX_BYTES):
                 self._start(head)
-                await self._write(bytes(buffered))
+                await self._write_buffered(buffered, connection)
         if not self._exchange.is_started:
             self._start(head)
             if buffered:
-                await self._write(bytes(buffered))
+                await self._write_buffered(buffered, connection)
         self._exchange.finish()
 
+    async def _write_buffered(
+        self,
+        buffered: collections.deque[bytes],
+        connection: upstream.UpstreamConnection,
+    ) -> None:
+        if self._exchange.holder is None:
+            await self._write(b"".join(buffered), connection)
+            return
+        # Joined, all would be held until the last byte is sent.
+        left_bytes = sum(map(len, buffered))
+        while buffered:
+            part = buffered.popleft()
+            left_bytes -= len(part)
+            self._exchange.note_buffered(left_bytes)
+            await self._write(part, connection)
+
     async def _forward_parts(
         self, head: upstream.ResponseHead, connection: upstream.UpstreamConnection
     ) -> None:
@@ -118,7 +139,7 @@
             _check_event_size(splitter)
             if not self._exchange.is_started:
                 self._start(head)
-            await self._write(part)
+            await self._write(part, connection)
         self._check_stream_end(head, splitter)
         if not self._exchange.is_started:
             self._start(head)
@@ -137,11 +158,12 @@
         while part := await connection.read_chunk():
             events = splitter.feed(part)
             _check_event_size(splitter)
+            self._exchange.note_buffered(splitter.incomplete_bytes)
             if not events:
                 continue
             if not self._exchange.is_started:
                 self._start(head)
-            await self._write(events)
+            await self._write(events, connection)
         self._check_stream_end(head, splitter)
         if not self._exchange.is_started:
             self._start(head)
@@ -167,7 +189,9 @@
         if detail:
             raise errors.BackendServerFailedError(detail, "read answer")
 
-    async def _write(self, part: bytes) -> None:
+    async def _write(
+        self, part: bytes, connection: upstream.UpstreamConnection
+    ) -> None:
         now = clock.read_clock()
         if self._first_written_at is None:
             self._first_written_at = now
@@ -176,7 +200,8 @@
         gap_s = self._record.note_part(now)
         self._shared.note_gap(self._service, gap_s)
         self._shared.progress.note_part(self._service, self._server, now)
-        await self._exchange.write(part)
+        delay_s = await self._exchange.write(part, connection)
+        self._record.skip_delay(delay_s)
 
     def _start(self, head: upstream.ResponseHead) -> None:
         forwarded_headers = tornado.httputil.HTTPHeaders()
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -155,6 +155,29 @@
     waited_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnded(Event):
+    """This host ended an answer because it held too many bytes for all requests.
+
+    Attributes:
+        route: The route that matched; empty if none did.
+        server: The server that was running the request; empty if there was none.
+        waited_ms: Time since the request's arrival.
+        waited_for: Who did not take bytes, one of ``bytebudget.Side``.
+        held_bytes: The bytes that were held for the request.
+        still_s: Time since the request last made progress.
+        ended_before: How many answers this process has ended before it.
+    """
+
+    route: str
+    server: str
+    waited_ms: int
+    waited_for: str
+    held_bytes: int
+    still_s: float
+    ended_before: int
+
+
 ROUTINE_EVENTS = (RequestSent, RequestAnswered, RetryAllowed)
 """Events of requests that succeed; the log drops these first when it is overloaded."""
 
--- a/src/lycheegauge/internal/protocol/work.py
+++ b/src/lycheegauge/internal/protocol/work.py
@@ -45,6 +45,7 @@
     UNKNOWN_KEY = "unknown_key"
     NO_ROUTE_TABLE = "no_route_table"
     BACKEND_SERVERS_FULL = "backend_servers_full"
+    MEMORY_FULL = "memory_full"
 
 
 class RetryReason(enum.StrEnum):
--- a/src/lycheegauge/internal/telemetry.py
+++ b/src/lycheegauge/internal/telemetry.py
@@ -11,6 +11,7 @@
     "refusals": ("reason", "Refused requests by reason"),
     "retries": ("reason", "Repeated attempts by reason"),
     "answers": ("service", "Whole answers by service"),
+    "ended_answers": ("waited_for", "Answers ended to free memory"),
     "engine_orders": ("outcome", "Orders to engines by how they were answered"),
 }
 """Label name and description of each counter."""
--- a/src/lycheegauge/internal/transport/closedelimited.py
+++ b/src/lycheegauge/internal/transport/closedelimited.py
@@ -76,6 +76,14 @@
         self.stream.close()
 
     def _set_linger(self, option: bytes) -> None:
-        if not self.stream.closed():
-            connected = self.stream.socket
-            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        _set_linger(self.stream, option)
+
+
+def set_reset(stream: tornado.iostream.IOStream) -> None:
+    """Sets a connection to be reset when it is closed, which drops its unsent data."""
+    _set_linger(stream, _LINGER_RESET)
+
+
+def _set_linger(stream: tornado.iostream.IOStream, option: bytes) -> None:
+    if not stream.closed():
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
--- a/src/lycheegauge/internal/transport/ingress.py
+++ b/src/lycheegauge/internal/transport/ingress.py
@@ -7,7 +7,14 @@
 import tornado.httputil
 import tornado.iostream
 
-from lycheegauge.internal.transport import callerconnections, clock, closedelimited
+from lycheegauge.internal.transport import (
+    bytebudget,
+    callerconnections,
+    callershare,
+    clock,
+    closedelimited,
+    web,
+)
 
 MAX_UNSENT_BYTES = 65_536
 """With more unsent data than this, writing waits until the caller has read it."""
@@ -28,6 +35,11 @@
             if the ingress is stopping when the response starts.
         is_close_delimited: Whether the end of the response is only marked by the end
             of its connection.
+        holder: Counts the bytes held for the exchange; ``None`` if they are not
+            counted.
+        is_body_refused: Whether the body was not read because of the bound on bytes.
+        ending: Why the exchange was ended because of that bound; ``None`` if it was
+            not.
     """
 
     def __init__(
@@ -37,6 +49,7 @@
         headers: tornado.httputil.HTTPHeaders,
         body: bytes,
         connections: callerconnections.CallerConnections,
+        holder: bytebudget.Holder | None = None,
     ) -> None:
         self.method = start.method
         self.target = start.path
@@ -54,7 +67,42 @@
             | closedelimited.CloseDelimitedResponse
         ) = connection
         self._disconnect_callback: collections.abc.Callable[[], object] | None = None
+        self._ending_callback: collections.abc.Callable[[], object] | None = None
         connection.set_close_callback(self._handle_disconnect)
+        self.is_body_refused = False
+        self.ending: bytebudget.Ending | None = None
+        self._is_body_read = True
+        self._is_finished = False
+        self.holder = holder
+        self._share: callershare.CallerShare | None = None
+        if holder is not None:
+            holder.end = self._end
+            self._share = callershare.CallerShare(connection.stream, holder)
+
+    @property
+    def delayed_s(self) -> float:
+        """For how long the caller has delayed the response; 0 if that is not known."""
+        return self._share.delayed_s if self._share is not None else 0.0
+
+    @property
+    def longest_delay_s(self) -> float:
+        """The longest pause in reading from the server for the caller."""
+        return self._share.longest_delay_s if self._share is not None else 0.0
+
+    def limit_buffer(self, buffered_bytes: int) -> int:
+        """Limits how much of the response is buffered before it is started."""
+        if self.holder is None:
+            return buffered_bytes
+        return min(buffered_bytes, self.holder.budget.share_bytes)
+
+    def note_buffered(self, count: int) -> None:
+        """Counts bytes of the response that wait for more before they are sent."""
+        if self.holder is not None:
+            self.holder.set_bytes(bytebudget.Part.BUFFERED, count)
+
+    def call_on_ending(self, callback: collections.abc.Callable[[], object]) -> None:
+        """Calls ``callback`` if the exchange is ended because of the bound."""
+        self._ending_callback = callback
 
     def call_on_disconnect(
         self, callback: collections.abc.Callable[[], object]
@@ -107,8 +155,24 @@
             stream, self._handle_disconnect
         )
 
-    async def write(self, data: bytes) -> None:
-        """Sends a chunk of the body; waits if the caller reads slowly."""
+    async def write(
+        self, data: bytes, source: callershare.ReadingSource | None = None
+    ) -> float:
+        """Sends a chunk of the body; waits if the caller reads slowly.
+
+        Args:
+            data: The chunk.
+            source: The connection that pauses meanwhile, if bytes are counted.
+
+        Returns:
+            For how long the caller delayed it, in seconds; 0 if that is not known.
+        """
+        if self._share is not None:
+            return await self._share.write(
+                lambda piece: self._write(lambda: self._connection.write(piece)),
+                data,
+                source,
+            )
         sent = self._write(lambda: self._connection.write(data))
         stream = self._connection.stream
         if sent is not None and stream is not None and not stream.closed():
@@ -117,12 +181,35 @@
                     await sent
                 except tornado.iostream.StreamClosedError:
                     self._handle_disconnect()
+        return 0.0
 
     def finish(self) -> None:
         """Completes the response."""
-        if not self.is_disconnected:
+        self._is_finished = True
+        if not self.is_disconnected and self._is_body_read:
             self._disconnect_callback = None
             self._connection.finish()
+            if self._share is not None and self.holder is not None:
+                self._share.note_written()
+                self._share.call_when_sent(self.holder.close)
+
+    def defer_finish(self) -> None:
+        """Notes that the response may be sent before the body has been read."""
+        self._is_body_read = False
+
+    def note_disconnect(self) -> None:
+        """Notes that the caller has disconnected before the body had been read."""
+        self._handle_disconnect()
+
+    def note_body_read(self) -> None:
+        """Completes a response that was sent before the body had been read.
+
+        The connection would otherwise be closed with unread data, and the reset may
+        reach the caller before the response.
+        """
+        self._is_body_read = True
+        if self._is_finished:
+            self.finish()
 
     def answer(
         self,
@@ -146,6 +233,22 @@
         self._disconnect_callback = None
         self.is_disconnected = True
         self._connection.close()
+        if self.holder is not None:
+            self.holder.close()
+
+    def _end(self, ending: bytebudget.Ending) -> None:
+        """Ends the exchange because of the bound on the bytes held."""
+        self.ending = ending
+        if self._ending_callback is not None:
+            self._ending_callback()
+        stream = self._connection.stream
+        if stream is not None:
+            # Otherwise the system would still hold what the caller does not read.
+            closedelimited.set_reset(stream)
+        callback = self._disconnect_callback
+        self.abort()
+        if callback is not None:
+            callback()
 
     def _write(self, write: collections.abc.Callable[[], typing.Any]) -> typing.Any:
         if self.is_disconnected:
@@ -157,6 +260,8 @@
 
     def _handle_disconnect(self) -> None:
         self.is_disconnected = True
+        if self.holder is not None:
+            self.holder.close()
         callback, self._disconnect_callback = self._disconnect_callback, None
         if callback is not None:
             callback()
@@ -171,14 +276,21 @@
     Args:
         handle: Called with each exchange; it must send the response.
         body_limit: The size limit of a request body, in bytes.
+        budget: Bounds the bytes held; ``None`` if they are not counted.
 
     Attributes:
         connections: The open connections.
     """
 
-    def __init__(self, handle: Handler, body_limit: int) -> None:
+    def __init__(
+        self,
+        handle: Handler,
+        body_limit: int,
+        budget: bytebudget.ByteBudget | None = None,
+    ) -> None:
         self.handle = handle
         self.body_limit = body_limit
+        self.budget = budget
         self.connections = callerconnections.CallerConnections()
 
     def start_request(
@@ -210,6 +322,8 @@
         self._start: tornado.httputil.RequestStartLine | None = None
         self._headers = tornado.httputil.HTTPHeaders()
         self._body = bytearray()
+        self._holder: bytebudget.Holder | None = None
+        self._refused: Exchange | None = None
 
     def headers_received(
         self,
@@ -222,25 +336,75 @@
         self._ingress.connections.set_phase(self._key, callerconnections.Phase.READING)
         self._start = typing.cast(tornado.httputil.RequestStartLine, start_line)
         self._headers = headers
+        budget = self._ingress.budget
+        if budget is None:
+            return
+        self._holder = bytebudget.Holder(budget)
+        self._holder.end = lambda _: self._refuse_body()
+        length = headers.get("Content-Length", "")
+        if web.CONTENT_LENGTH.fullmatch(length):
+            # A larger body than is allowed is answered with 413, and not stored.
+            body_bytes = int(length)
+            if body_bytes <= self._ingress.body_limit and not budget.accepts_body(
+                body_bytes, body_bytes
+            ):
+                self._refuse_body()
 
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body, unless the body is over the limit."""
+        if self._refused is not None:
+            return
         if len(self._body) <= self._ingress.body_limit:
             self._body += chunk
+            if self._holder is not None:
+                self._count_body(self._holder, len(chunk))
+
+    def _count_body(self, holder: bytebudget.Holder, chunk_bytes: int) -> None:
+        body_bytes = len(self._body)
+        if not holder.budget.accepts_body(body_bytes, chunk_bytes):
+            self._refuse_body()
+            return
+        holder.begin_wait(bytebudget.Side.BODY, lambda: len(self._body))
+        holder.set_bytes(bytebudget.Part.BODY, body_bytes)
+
+    def _refuse_body(self) -> None:
+        """Has the request refused as not run, and discards the rest of its body."""
+        assert self._start is not None and self._holder is not None
+        self._holder.close()
+        self._body = bytearray()
+        exchange = Exchange(
+            self._connection,
+            self._start,
+            self._headers,
+            b"",
+            self._ingress.connections,
+        )
+        exchange.is_body_refused = True
+        exchange.defer_finish()
+        self._refused = exchange
+        self._ingress.handle(exchange)
 
     def finish(self) -> None:
         """Passes the complete request to the handler, or responds with 413."""
         assert self._start is not None
         connections = self._ingress.connections
         connections.set_phase(self._key, callerconnections.Phase.ANSWERING)
+        if self._refused is not None:
+            self._refused.note_body_read()
+            return
+        # The reader lives as long as the exchange, which has a copy of the body.
+        body, self._body = bytes(self._body), bytearray()
+        if self._holder is not None:
+            self._holder.end_wait(bytebudget.Side.BODY)
         exchange = Exchange(
             self._connection,
             self._start,
             self._headers,
-            bytes(self._body),
+            body,
             connections,
+            self._holder,
         )
-        if len(self._body) > self._ingress.body_limit:
+        if len(body) > self._ingress.body_limit:
             exchange.closes_connection = True
             exchange.answer(413, "Content Too Large", b"", {})
             return
@@ -248,3 +412,7 @@
 
     def on_connection_close(self) -> None:
         """Discards a request that was not completely read."""
+        if self._holder is not None:
+            self._holder.close()
+        if self._refused is not None:
+            self._refused.note_disconnect()
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -16,7 +16,7 @@
 import h11
 
 from lycheegauge import errors
-from lycheegauge.internal.transport import clock, closedelimited, peers
+from lycheegauge.internal.transport import bytebudget, clock, closedelimited, peers
 
 CONNECT_TIMEOUT_S = 0.4
 """A lost SYN is only resent after seconds; trying another server is faster."""
@@ -91,9 +91,12 @@
     Attributes:
         is_ambiguous: Whether a second copy of its last answer could not be told from
             the next answer.
+        holder: Counts the bytes held for the current request; ``None`` if they are
+            not counted.
     """
 
     def __init__(self) -> None:
+        self.holder: bytebudget.Holder | None = None
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.request_count = 0
@@ -143,6 +146,12 @@
         if self._close_callback is not None:
             self._close_callback()
 
+    def hold_reading(self) -> None:
+        """Pauses reading while the caller delays the response; does nothing here."""
+
+    def release_reading(self) -> None:
+        """Ends the pause."""
+
     # Called by the pool and by the code that sends requests.
 
     @property
@@ -173,16 +182,15 @@
                     ],
                 )
             )
-            if body:
-                sent += self._codec.send(h11.Data(data=body)) or b""
-            sent += self._codec.send(h11.EndOfMessage()) or b""
+            sent_body = self._codec.send(h11.Data(data=body)) if body else b""
+            sent_end = self._codec.send(h11.EndOfMessage())
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise errors.BorderError(str(error), "send request") from error
         self._is_busy = True
         self._informational_responses = 0
         self._method = head.method
         self.request_count += 1
-        self._transport.write(sent)
+        self._write_request(sent or b"", (sent_body or b"") + (sent_end or b""))
 
     async def read_head(self) -> ResponseHead:
         """Waits for the status and headers of the response.
@@ -256,11 +264,24 @@
         event = self._events.popleft()
         if isinstance(event, h11.Data):
             self._unread_bytes -= len(event.data)
-            if self._is_reading_paused and self._unread_bytes < MAX_UNREAD_BYTES:
+            self._limit_reading()
+        return event
+
+    def _write_request(self, head: bytes, body: bytes) -> None:
+        """Writes a request; ``body`` includes its end."""
+        assert self._transport is not None
+        self._transport.write(head + body)
+
+    def _limit_reading(self) -> None:
+        """Pauses reading from the server while too much of its response is unread."""
+        if self._is_reading_paused:
+            if self._unread_bytes < MAX_UNREAD_BYTES:
                 self._is_reading_paused = False
                 if self._transport is not None and not self._transport.is_closing():
                     self._transport.resume_reading()
-        return event
+        elif self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
 
     def _parse(self) -> None:
         try:
@@ -287,9 +308,7 @@
         except h11.RemoteProtocolError as error:
             self._fail(f"malformed or incomplete HTTP response: {error}")
             return
-        if self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
-            self._is_reading_paused = True
-            self._transport.pause_reading()
+        self._limit_reading()
         self._wake_waiter()
 
     def _fail(self, reason: str) -> None:
@@ -327,9 +346,16 @@
 
     The key identifies a server together with its address. Requests to a server
     that takes over the address of another therefore never use old connections.
+
+    Args:
+        make_connection: Creates the protocol of a new connection.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        make_connection: typing.Callable[[], UpstreamConnection] = UpstreamConnection,
+    ) -> None:
+        self._make_connection = make_connection
         self._idle_connections: dict[str, list[UpstreamConnection]] = {}
         self._open_connections: dict[str, set[UpstreamConnection]] = {}
 
@@ -371,7 +397,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    UpstreamConnection, host, port
+                    self._make_connection, host, port
                 )
         except (OSError, TimeoutError) as error:
             detail = f"connection failed: {type(error).__name__} {error}"
--- a/src/lycheegauge/internal/transport/web.py
+++ b/src/lycheegauge/internal/transport/web.py
@@ -13,7 +13,7 @@
 import tornado.web
 
 from lycheegauge import settings
-from lycheegauge.internal.transport import peers
+from lycheegauge.internal.transport import bytebudget, peers
 
 HEADER_READ_FACTOR = 4
 """Headers up to this multiple of the limit are read, to refuse them with a reason."""
@@ -46,14 +46,40 @@
 
     connections_max = 0
     write_malformed: ProblemWriter | None = None
+    budget: bytebudget.ByteBudget | None = None
+    unread_streams: list[tuple[tornado.iostream.IOStream, typing.Any]]
+    """Accepted connections that are not read, as too many bytes are held."""
 
     def handle_stream(
         self, stream: tornado.iostream.IOStream, address: typing.Any
     ) -> None:
         """Handles a new connection, or closes it if the limit is reached."""
-        if len(self._connections) >= self.connections_max:
+        if len(self._connections) + len(self.unread_streams) >= self.connections_max:
             stream.close()
             return
+        if self.budget is not None:
+            bytebudget.limit_system_buffer(stream.socket)
+            if not self.budget.accepts_connection:
+                self.unread_streams.append((stream, address))
+                if len(self.unread_streams) == 1:
+                    self.budget.call_when_free(self._read_streams)
+                return
+        self._serve_stream(stream, address)
+
+    def _read_streams(self) -> None:
+        streams, self.unread_streams = self.unread_streams, []
+        for stream, address in streams:
+            self._serve_stream(stream, address)
+
+    def close_unread(self) -> None:
+        """Closes the connections that are not read."""
+        for stream, _ in self.unread_streams:
+            stream.close()
+        self.unread_streams.clear()
+
+    def _serve_stream(
+        self, stream: tornado.iostream.IOStream, address: typing.Any
+    ) -> None:
         if self.write_malformed is not None:
             self._replace_bad_request(stream, self.write_malformed)
         super().handle_stream(stream, address)
@@ -118,6 +144,7 @@
             tornado.web.Application | tornado.httputil.HTTPServerConnectionDelegate
         ),
         limits: settings.Limits,
+        budget: bytebudget.ByteBudget | None = None,
     ) -> None:
         self._host, self._port = peers.split_address(address)
         # The handlers of ``Application`` limit the body themselves. With a limit
@@ -133,6 +160,8 @@
             body_timeout=limits.idle_timeout_s,
         )
         self._server.connections_max = limits.connections
+        self._server.budget = budget
+        self._server.unread_streams = []
         if isinstance(application, Application):
             self._server.write_malformed = application.write_malformed
         self._sockets: list[typing.Any] = []
@@ -145,7 +174,11 @@
 
     def count_connections(self) -> int:
         """Counts the open connections."""
-        return len(self._server._connections)
+        return len(self._server._connections) + self.count_unread()
+
+    def count_unread(self) -> int:
+        """Counts the accepted connections that are not read yet."""
+        return len(self._server.unread_streams)
 
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections stay open.
@@ -161,6 +194,7 @@
     async def close(self) -> None:
         """Closes the listening socket and every connection."""
         self._server.stop()
+        self._server.close_unread()
         await self._server.close_all_connections()
 
 
--- a/src/lycheegauge/metrics.py
+++ b/src/lycheegauge/metrics.py
@@ -51,6 +51,10 @@
         """Counts one complete answer."""
         self._count("answers", service)
 
+    def count_ended_answer(self, side: str) -> None:
+        """Counts one answer that was ended to free memory, by whom it waited for."""
+        self._count("ended_answers", side)
+
     def count_engine_order(self, outcome: str) -> None:
         """Counts one order to an engine by its outcome."""
         self._count("engine_orders", outcome)
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -85,12 +85,12 @@
 class GatewayHost:
     """A forwarder behind a caller address, with a fixed roster and route table."""
 
-    def __init__(self, servers, repetition, attempts_max):
+    def __init__(self, servers, repetition, attempts_max, limits=None):
         part = settings.GatewaySettings(
             name="gateway-1", availability_zone="zone-a",
             caller_address="127.0.0.1:0", readiness_address="127.0.0.1:0",
             peer_address="127.0.0.1:0",
-            roster={"seed_hosts": ("127.0.0.1:1",)},
+            roster={"seed_hosts": ("127.0.0.1:1",)}, limits=limits or {},
         )  # fmt: skip
         self._servers = servers
         self._table = {
@@ -109,8 +109,11 @@
         dialect = controlcalls.get_dialect("native")
         self.forwarder = forwarder.Forwarder(part, self._view, dialect, self._counters)
         intake = requestintake.RequestIntake(self.forwarder)
-        listened = ingress.Ingress(intake.handle, part.limits.body_bytes)
-        self._listener = web.Listener(part.caller_address, listened, part.limits)
+        budget = self.forwarder.budget
+        listened = ingress.Ingress(intake.handle, part.limits.body_bytes, budget)
+        self._listener = web.Listener(
+            part.caller_address, listened, part.limits, budget
+        )
         self._drain = callerdrain.CallerDrain(self.forwarder, listened, self._listener)
         self.address = ""
 
