--- a/src/lycheegauge/internal/transport/boundedupstream.py
+++ b/src/lycheegauge/internal/transport/boundedupstream.py
@@ -21,7 +21,7 @@
         buffer: Takes each read, until it is parsed; shared by all connections.
     """
 
-    def __init__(self, budget: bytebudget.ByteBudget, buffer: bytearray) -> None:
+    def __init__(self, budget: bytebudget.ByteBudget, buffer: memoryview) -> None:
         super().__init__()
         self._budget = budget
         self._buffer = buffer
@@ -40,13 +40,13 @@
         self._transport.set_write_buffer_limits(high=0)
         bytebudget.limit_system_buffer(transport.get_extra_info("socket"))
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Returns the buffer for the next read."""
-        return self._buffer
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read, which is at most half a share."""
+        return self._buffer[: self._budget.share_bytes // 2]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parses a read."""
-        self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
+        self.data_received(bytes(self._buffer[:nbytes]))
 
     def pause_writing(self) -> None:
         """Stops writing the body, as the server does not take it."""
@@ -157,5 +157,5 @@
     """Creates a pool; its connections are bounded if there is a budget."""
     if budget is None:
         return upstream.ConnectionPool()
-    buffer = bytearray(READ_MAX_BYTES)
+    buffer = memoryview(bytearray(READ_MAX_BYTES))
     return upstream.ConnectionPool(lambda: BoundedConnection(budget, buffer))
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -123,7 +123,14 @@
             await server.start()
             listings.append(
                 roster.ServerListing(
-                    f"server-{number}", 1, 1, "drafting", server.address, "zone-a", 8, 0
+                    f"server-{number}",
+                    1,
+                    1,
+                    "drafting",
+                    server.address,
+                    "zone-a",
+                    getattr(server, "slots", 8),
+                    0,
                 )
             )
         body = zlib.compress(json.dumps(self._table).encode())
--- a/tests/support/rawpeers.py
+++ b/tests/support/rawpeers.py
@@ -16,6 +16,8 @@
     ``/small`` is answered at once; see the handlers for the others.
     """
 
+    slots = 1000
+
     def __init__(self, body=b"x" * 2_000_000):
         self.body = body
         self.address = ""
