Let some callers and servers of the soak read slowly

No fault of the soak made a gateway hold bytes. Three callers of each run now send bodies of 100 to 900 kB, which servers read slowly, or read an answer of some 300 kB slowly, or leave in the middle of it; the gateways hold at most 1 MB, with shares of 64 KiB.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,12 +3,15 @@
 import dataclasses
 import http.client
 import random
+import socket
 import threading
 import time
 
 PATHS = ("/safe/x", "/unsafe/x", "/stream/x")
 DEADLINE_MS = 2500
 PAUSE_S = 0.02
+LARGE_PATH, SLOW_PATH = "/safe/large", "/unsafe/slow"
+PIECE_BYTES = 32_768
 
 
 @dataclasses.dataclass
@@ -81,3 +84,55 @@
         observed.retry_after_s = float(answer.headers.get("Retry-After", 0.0))
         if not answer.will_close:
             self.connections[observed.gateway] = connection
+
+
+class SlowCaller(Caller):
+    """Sends large bodies, and reads large answers slowly or not to their end."""
+
+    def run(self):
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            gateway = self.random.randrange(len(self.gateways))
+            observed = ObservedRequest(
+                f"s{self.number}-{count}", self.random.choice((LARGE_PATH, SLOW_PATH)),
+                self.random.choice(self.keys), gateway, time.monotonic(),
+            )  # fmt: skip
+            self.observed.append(observed)
+            try:
+                self.send(observed)
+            except (OSError, http.client.HTTPException):
+                pass
+            observed.ended_at = time.monotonic()
+            self.stopping.wait(max(PAUSE_S, observed.retry_after_s))
+
+    def send(self, observed):
+        host, port = self.gateways[observed.gateway].split(":")
+        connection = http.client.HTTPConnection(host, int(port))
+        connection.sock = socket.socket()
+        try:
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_BYTES)
+            connection.sock.settimeout(DEADLINE_MS / 1000 + 1.0)
+            connection.sock.connect((host, int(port)))
+            headers = {
+                "Host": "shop.example",
+                "Lycheegauge-Request-Id": observed.request_id,
+                "Lycheegauge-Deadline-Ms": str(DEADLINE_MS),
+                "Authorization": f"Bearer {observed.key}",
+            }
+            is_large = observed.path == SLOW_PATH
+            body = b"b" * self.random.randrange(100_000, 900_000) if is_large else None
+            connection.request("POST", observed.path, body, headers)
+            answer = connection.getresponse()
+            observed.retry_after_s = float(answer.headers.get("Retry-After", 0.0))
+            received = b""
+            pieces_max = self.random.choice((2, 1000))
+            while piece := answer.read(PIECE_BYTES):
+                received += piece
+                pieces_max -= 1
+                self.stopping.wait(0.05 if pieces_max else 2.0)
+                if not pieces_max:
+                    return
+            observed.status, observed.body = answer.status, received
+        finally:
+            connection.close()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,7 +6,9 @@
 
 import collections
 
-from support import forwardingfleet
+from support import forwardingfleet, processes
+
+from soak import callers, soakfleet
 
 DEPARTURE_S = 2.5
 """Time until a departure is in force everywhere: a lease, plus requests in flight."""
@@ -82,7 +84,11 @@
         is_stream = observed.path.startswith("/stream/")
         if is_stream and observed.body != stream:
             yield f"{observed.request_id} got the stream {observed.body[:200]!r}"
-        if not is_stream and observed.body not in names:
+        if observed.path == callers.LARGE_PATH:
+            names_here = {name * soakfleet.LARGE_COPIES for name in names}
+        else:
+            names_here = names
+        if not is_stream and observed.body not in names_here:
             yield f"{observed.request_id} got {observed.body[:80]!r}"
 
 
@@ -174,6 +180,21 @@
         yield f"some gateways did not serve within {RECOVERY_S} s of the last fault"
 
 
+@register_check
+def held_bytes_are_returned(fleet):
+    """Without callers, no gateway counts bytes as held for one."""
+    for number in range(len(fleet.gateways)):
+        try:
+            processes.wait_until(
+                lambda number=number: fleet.read_held_bytes(number) == 0.0,
+                "held bytes are returned",
+            )
+        except AssertionError:
+            held_bytes = fleet.read_held_bytes(number)
+            yield f"gateway {number + 1} still counts {held_bytes} bytes as held"
+            return
+
+
 @register_check
 def serves_during_faults(fleet):
     """At least a quarter of the requests are served in spite of the faults."""
--- a/tests/soak/plants.py
+++ b/tests/soak/plants.py
@@ -30,6 +30,11 @@
         "not in departed",
         "not in ()",
     ),
+    "held bytes are not returned": (
+        f"{PACKAGE}/transport/bytebudget.py",
+        "self.budget.note_change(-held_bytes)",
+        "self.budget.note_change(0)",
+    ),
     "a lease kept too long": (
         f"{PACKAGE}/coordination/leases.py",
         "return now < self.ends_at",
--- a/tests/soak/soakfleet.py
+++ b/tests/soak/soakfleet.py
@@ -11,6 +11,10 @@
 
 GATEWAYS = 3
 CALLERS = 8
+SLOW_CALLERS = 3
+SLOW_READ_S = 0.02
+LARGE_COPIES = 40_000
+HELD_BYTES = 1_000_000
 SERVERS = 5
 KEYS = {"shop": "key-of-shop", "office": "key-of-office", "spare": "key-of-spare"}
 TORN_RECORD = b"\x00\x00\x00\x20torn"
@@ -29,6 +33,16 @@
         await super().listen()
         self.address = self.proxy.start(self.address)
 
+    async def read_body(self, reader, length, target):
+        while target == callers.SLOW_PATH and length > callers.PIECE_BYTES:
+            length -= len(await reader.readexactly(callers.PIECE_BYTES))
+            await asyncio.sleep(SLOW_READ_S)
+        await super().read_body(reader, length, target)
+
+    def make_body(self, target):
+        copies = LARGE_COPIES if target == callers.LARGE_PATH else 1
+        return super().make_body(target) * copies
+
     def record_run(self, request_id, target, fields):
         super().record_run(request_id, target, fields)
         organisation = fields.get("lycheegauge-organisation", "")
@@ -57,6 +71,7 @@
 
     def __init__(self, seed):
         super().__init__(gateways=GATEWAYS)
+        (self.metrics_port,) = processes.reserve_ports(1)
         self.seed = seed
         self.version = 0
         self.held_keys = dict(KEYS)
@@ -76,13 +91,25 @@
         super().start(servers)
         self.change_table()
         self.wait_until_served()
-        for number in range(CALLERS):
-            caller = callers.Caller(
-                number, self.seed, self.gateways, list(KEYS.values())
-            )
+        for number in range(CALLERS + SLOW_CALLERS):
+            make = callers.Caller if number < CALLERS else callers.SlowCaller
+            caller = make(number, self.seed, self.gateways, list(KEYS.values()))
             self.callers.append(caller)
             caller.start()
 
+    def make_gateway_settings(self, host):
+        limits = {"held_bytes": HELD_BYTES, "connection_bytes": 65_536}
+        return {"metrics_address": f"{host}:{self.metrics_port}", "limits": limits}
+
+    def read_held_bytes(self, gateway):
+        host = self.gateways[gateway].split(":")[0]
+        exported = processes.call(f"{host}:{self.metrics_port}", "/metrics").body
+        (line,) = [
+            line for line in exported.decode().splitlines()
+            if line.startswith("lycheegauge_held_bytes")
+        ]  # fmt: skip
+        return float(line.split()[-1])
+
     def start_server(self, name, zone):
         server = RecordingServer(name, zone, self.control_hosts)
         server.start()
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -128,11 +128,20 @@
                 fields = dict(
                     line.lower().split(": ", 1) for line in lines[1:] if ": " in line
                 )
-                await reader.readexactly(int(fields.get("content-length", 0)))
-                await self.answer(lines[0].split(" ")[1], fields, writer)
+                target = lines[0].split(" ")[1]
+                await self.read_body(
+                    reader, int(fields.get("content-length", 0)), target
+                )
+                await self.answer(target, fields, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    async def read_body(self, reader, length, target):
+        await reader.readexactly(length)
+
+    def make_body(self, target):
+        return self.name.encode()
+
     async def answer(self, target, fields, writer):
         self.leaked_keys += "authorization" in fields
         request_id = fields["lycheegauge-request-id"]
@@ -157,7 +166,7 @@
             writer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\nsorry")
             return
         if not target.startswith("/stream/"):
-            body = self.name.encode()
+            body = self.make_body(target)
             leaving = ""
             if self.says_leaving:
                 leaving = "Lycheegauge-Server-Leaving: 1\r\n"
@@ -265,9 +274,13 @@
         }  # fmt: skip
         if self.repeats is not None:
             part["repeats"] = self.repeats
+        part.update(self.make_gateway_settings(host))
         path = self.write_settings(name, {"gateway": part})
         return self.start_process(name, "gateway", "--settings", path)
 
+    def make_gateway_settings(self, host):
+        return {}
+
     def ready_address(self, gateway):
         host = self.gateways[gateway].split(":")[0]
         return f"{host}:{self.ready_port}"
