--- a/src/lycheegauge/internal/coordination/serverchoice.py
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -62,13 +62,22 @@
     def estimate(self, server: roster.ServerListing, slots: int, now: float) -> float:
         """Estimates the busy fraction of a server's slots; above 1 requests queue."""
         load = self._get_load(server.name)
-        age_s = now - load.pulled_at
-        others = float(self.news.count(server.name))
-        if not self.has_recent_news:
-            pulled = load.others * math.pow(0.5, age_s / NEWS_HALF_LIFE_S)
-            others = max(others, pulled)
+        others = self._estimate_others(server.name, load, now)
         return (load.own + others) / max(1, server.slots or slots)
 
+    def count_elsewhere(self, servers: typing.Iterable[str], now: float) -> float:
+        """Estimates the open requests that all other hosts have at some servers."""
+        return sum(
+            self._estimate_others(name, self._get_load(name), now) for name in servers
+        )
+
+    def _estimate_others(self, server: str, load: _ServerLoad, now: float) -> float:
+        others = float(self.news.count(server))
+        if self.has_recent_news:
+            return others
+        age_s = now - load.pulled_at
+        return max(others, load.others * math.pow(0.5, age_s / NEWS_HALF_LIFE_S))
+
     def note_sent(self, server: str) -> None:
         """Records that a request is sent."""
         self._get_load(server).own += 1
--- a/src/lycheegauge/internal/daemons/loadsharing.py
+++ b/src/lycheegauge/internal/daemons/loadsharing.py
@@ -30,6 +30,11 @@
 may be lost."""
 
 
+def compute_interval(other_hosts: int) -> float:
+    """Returns the minimum interval between two load updates, in seconds."""
+    return MIN_SEND_INTERVAL_S * max(1.0, other_hosts / HOSTS_AT_MIN_INTERVAL)
+
+
 class LoadSharing:
     """Owns the socket for load updates.
 
@@ -60,6 +65,7 @@
         # Numbers keep increasing over a restart: the clock counts from the host's boot.
         self._sequence = int(clock.read_clock() * 1000)
         self._changed = asyncio.Event()
+        self.on_news: collections.abc.Callable[[], None] = lambda: None
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -94,9 +100,7 @@
             others = [host for host in self._list_hosts() if host.name != self._name]
             if others and self._is_highly_loaded(clock.read_clock()):
                 self._send(others)
-            await asyncio.sleep(
-                MIN_SEND_INTERVAL_S * max(1.0, len(others) / HOSTS_AT_MIN_INTERVAL)
-            )
+            await asyncio.sleep(compute_interval(len(others)))
 
     def _send(self, others: list[roster.HostListing]) -> None:
         self._sequence += 1
@@ -112,3 +116,4 @@
     def _receive(self, message: object) -> None:
         if isinstance(message, roster.LoadNews) and message.host != self._name:
             self._choice.news.apply(message, clock.read_clock())
+            self.on_news()
