Let streams wait at their entry host until the group has capacity

Cause: a request that finds no capacity was refused, or queued at a server's slot. Change: daemons/streamadmissions.py owns the requests that wait. It starts them when a stream ends here, when another host's load update or a pull arrives, and when the pass time changes. Requests pass it after admission and before the first attempt; the forecast of the wait for a slot is not used for them. Gaps are measured between writes of whole events and divided by the events in a write. Hosts exchange load updates once half of the capacity is used, since slots may never be that full. A host that stops refuses those that wait. It is off by default; requests of services that are not models get no ticket.

--- a/src/lycheegauge/internal/coordination/eventstream.py
+++ b/src/lycheegauge/internal/coordination/eventstream.py
@@ -27,6 +27,7 @@
         self.last_id = last_id
         self.attempt_has_events = False
         self._buffer = b""
+        self._count = 0
 
     @property
     def incomplete_bytes(self) -> int:
@@ -43,6 +44,7 @@
         joined = self._buffer + data
         end = _find_last_event_end(joined)
         if end:
+            self._count += _count_events(joined[:end])
             self._update_last_id(joined[:end])
             self.attempt_has_events = True
         # Blank lines belong to no event. One may be the LF of a CR LF whose CR came
@@ -55,12 +57,24 @@
         self.attempt_has_events = False
         self._buffer = b""
 
+    def pop_count(self) -> int:
+        """Returns the number of events that were completed since the last call."""
+        count, self._count = self._count, 0
+        return count
+
     def _update_last_id(self, events: bytes) -> None:
         ids = ID_LINE.findall(events)
         if ids:
             self.last_id = ids[-1].strip().decode("ascii", "replace")
 
 
+def _count_events(data: bytes) -> int:
+    """Counts the complete events in bytes that end with one."""
+    if b"\r" not in data:
+        return data.count(b"\n\n")
+    return sum(1 for _ in EVENT_END.finditer(data))
+
+
 def _find_last_event_end(data: bytes) -> int:
     """Returns the offset after the last complete event; 0 if there is none."""
     if b"\r" not in data:
--- a/src/lycheegauge/internal/daemons/callerdrain.py
+++ b/src/lycheegauge/internal/daemons/callerdrain.py
@@ -44,6 +44,7 @@
         response might take longer than this process lives.
         """
         self._forwarder.refuses_requests = True
+        self._forwarder.admission.refuse_waiting()
         self._listener.stop_accepting()
         connections = self._ingress.connections
         while (
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -13,7 +13,12 @@
     repeatbudget,
     routeindex,
 )
-from lycheegauge.internal.daemons import forwarder, requestrecord, responseforwarding
+from lycheegauge.internal.daemons import (
+    forwarder,
+    requestrecord,
+    responseforwarding,
+    streamadmissions,
+)
 from lycheegauge.internal.protocol import bounds, calls, roster, routetables, work
 from lycheegauge.internal.transport import clock, ingress, upstream
 
@@ -64,6 +69,7 @@
         self._organisation = ""
         self._priority: int | None = None
         self._deadline = math.inf
+        self._ticket: streamadmissions.Ticket | None = None
         self._tried_servers: set[str] = set()
         self._runs = 0
         self._refusals = 0
@@ -92,9 +98,14 @@
             detail = f"unexpected error: {type(error).__name__}"
             self._end(self._give_up(work.RefusalReason.OUTCOME_UNKNOWN, detail))
             raise
+        finally:
+            self._shared.admission.leave(self._ticket)
 
     async def _run(self) -> None:
         refusal = await self._admit_or_wait()
+        if refusal is None:
+            self._ticket = self._make_ticket()
+            refusal = await self._shared.admission.enter(self._ticket)
         if refusal is not None:
             self._send_refusal(refusal)
             return
@@ -152,6 +163,25 @@
         shared.note_request(self._service)
         return None
 
+    def _make_ticket(self) -> streamadmissions.Ticket | None:
+        """Creates the request's ticket for the admission of streams, if it is used."""
+        assert self._route is not None
+        fields = self._exchange.headers
+        size = self._shared.dialect.parse_request_size(
+            fields.get(self._names.token_counts, ""),
+            fields.get(self._names.length_hint, ""),
+        )
+        return self._shared.admission.make_ticket(
+            self._service,
+            self._route,
+            self._priority,
+            self._organisation,
+            size,
+            (self._exchange.arrived_at, self._deadline),
+            len(self._exchange.body),
+            self._digest_request,
+        )
+
     def _list_parts(self) -> tuple[str, ...]:
         """Lists the parts that the prompt shares with others, by service."""
         header = self._exchange.headers.get(self._names.prompt_parts, "")
@@ -243,6 +273,8 @@
         """Returns why no attempt is made at a server; charges the retry budget."""
         assert self._route is not None
         if not self._runs + self._refusals:
+            if self._ticket is not None:
+                return None
             return self._shared.check_wait(self._route, self._service, server)
         if self._find_refused_part():
             return self._refuse_part()
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -30,7 +30,7 @@
     serverstatements,
     waitforecast,
 )
-from lycheegauge.internal.daemons import loadsharing, silencewatch
+from lycheegauge.internal.daemons import loadsharing, silencewatch, streamadmissions
 from lycheegauge.internal.protocol import (
     changes,
     controlcalls,
@@ -125,6 +125,9 @@
         )
         self.progress = progress.ServerProgress()
         self.crashdetector = crashdetector.CrashDetector()
+        self.admission = streamadmissions.StreamAdmissions(
+            part, view, self.choice, self.share, counters, self.random_source
+        )
         self.outcomes = requestoutcomes.RequestOutcomes()
         self._outcomes_logged_at = clock.read_clock()
         self.stopping = False
@@ -263,6 +266,7 @@
         self.statements.set_longest_deadline(
             max((route.timeout_s for route in routes), default=math.inf)
         )
+        self.admission.set_table(self.index)
         self._settled_at = min(self._settled_at, clock.read_clock() + SETTLING_TIME_S)
         loguru.logger.info("route table in force", version=document.version)
 
@@ -445,6 +449,10 @@
         self.statements.note_ended(server.incarnation)
         self.on_load_changed()
 
+    def note_pass(self, service: str, gap_s: float, events: int) -> None:
+        """Records a pause between writes of whole events, and the events after it."""
+        self.admission.note_gap(service, gap_s, clock.read_clock(), events)
+
     def note_gap(self, service: str, gap_s: float) -> None:
         """Records a pause between two parts of a stream."""
         if gap_s > self._longest_gaps.get(service, 0.0):
@@ -486,6 +494,8 @@
         """Tells whether most slots of some service are busy."""
         if self.index is None:
             return False
+        if self.admission.is_crowded(now):
+            return True
         busy: dict[str, float] = collections.defaultdict(float)
         slots: dict[str, int] = collections.defaultdict(int)
         for server in self.view.list_usable(now):
@@ -506,6 +516,7 @@
 
     async def close(self) -> None:
         """Cancels all requests and closes all connections."""
+        self.admission.close()
         tasks = [*self.running, *self._probes.values()]
         for task in tasks:
             task.cancel()
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -86,6 +86,7 @@
             self.forwarder.is_highly_loaded,
         )
         self.forwarder.on_load_changed = self._load_sharing.note_change
+        self._load_sharing.on_news = self.forwarder.admission.note_news
         self._register_gauges()
         self.caller_address = part.caller_address
         self._tasks: list[asyncio.Task[None]] = []
@@ -259,6 +260,7 @@
             gaps=self.forwarder.pop_gaps(),
             demand=self.forwarder.share.make_demand(clock.read_clock()),
             departures=self.forwarder.statements.list_unreported(),
+            passes=self.forwarder.admission.list_passes(clock.read_clock()),
         )
         try:
             reply = await self._client.pull(message)
@@ -282,6 +284,7 @@
             self.forwarder.choice.set_other_requests(
                 reply.open_elsewhere, clock.read_clock()
             )
+            self.forwarder.admission.note_pull(reply.passes, self._pull_interval_s, now)
         is_from_leader = reply.proof is not None
         self._update_leader_contact(
             is_from_leader, asked, "the host asked is not the leader"
--- a/src/lycheegauge/internal/daemons/responseforwarding.py
+++ b/src/lycheegauge/internal/daemons/responseforwarding.py
@@ -45,6 +45,7 @@
         self._parts: tuple[str, ...] = ()
         self._suspicions: partdetector.Suspicions = {}
         self._first_written_at: float | None = None
+        self._event_at: float | None = None
         self.splitter: eventstream.EventSplitter | None = None
         self.is_settled = False
 
@@ -65,6 +66,7 @@
         detector = self._shared.crashdetector.parts
         self._suspicions = detector.list_suspicions(parts)
         self.is_settled, self._first_written_at = False, None
+        self._event_at = None
 
     async def forward(
         self,
@@ -139,7 +141,7 @@
             _check_event_size(splitter)
             if not self._exchange.is_started:
                 self._start(head)
-            await self._write(part, connection)
+            await self._write(part, connection, splitter.pop_count())
         self._check_stream_end(head, splitter)
         if not self._exchange.is_started:
             self._start(head)
@@ -163,7 +165,7 @@
                 continue
             if not self._exchange.is_started:
                 self._start(head)
-            await self._write(events, connection)
+            await self._write(events, connection, splitter.pop_count())
         self._check_stream_end(head, splitter)
         if not self._exchange.is_started:
             self._start(head)
@@ -190,7 +192,7 @@
             raise errors.BackendServerFailedError(detail, "read answer")
 
     async def _write(
-        self, part: bytes, connection: upstream.UpstreamConnection
+        self, part: bytes, connection: upstream.UpstreamConnection, events: int = 0
     ) -> None:
         now = clock.read_clock()
         if self._first_written_at is None:
@@ -199,6 +201,11 @@
             self.note_settled(now)
         gap_s = self._record.note_part(now)
         self._shared.note_gap(self._service, gap_s)
+        if events:
+            # A pass is measured between events of one attempt; a part may be less.
+            if self._event_at is not None:
+                self._shared.note_pass(self._service, now - self._event_at, events)
+            self._event_at = now
         self._shared.progress.note_part(self._service, self._server, now)
         delay_s = await self._exchange.write(part, connection)
         self._record.skip_delay(delay_s)
--- a/src/lycheegauge/internal/telemetry.py
+++ b/src/lycheegauge/internal/telemetry.py
@@ -12,6 +12,7 @@
     "retries": ("reason", "Repeated attempts by reason"),
     "answers": ("service", "Whole answers by service"),
     "ended_answers": ("waited_for", "Answers ended to free memory"),
+    "admission_refusals": ("cause", "Requests that stream admission refused by cause"),
     "engine_orders": ("outcome", "Orders to engines by how they were answered"),
 }
 """Label name and description of each counter."""
@@ -25,7 +26,9 @@
     "map_switch_arm": "Time to arm all ranks for a new map",
     "map_switch_undo": "Time to undo a switch to a new map",
     "map_switch_release": "Time until all ranks have begun a pass with a new map",
+    "admission_wait": "Wait for capacity at the entry host by route",
 }
+HISTOGRAM_LABELS = {"admission_wait": "route"}
 
 
 class Exporter:
@@ -55,9 +58,10 @@
         """Adds to a counter."""
         self._counters[name].add(amount, {COUNTERS[name][0]: label})
 
-    def record(self, name: str, seconds: float) -> None:
+    def record(self, name: str, seconds: float, label: str = "") -> None:
         """Adds a sample to a histogram."""
-        self._histograms[name].record(seconds)
+        labels = {HISTOGRAM_LABELS[name]: label} if label else {}
+        self._histograms[name].record(seconds, labels)
 
     def register_gauge(
         self, name: str, description: str, read: collections.abc.Callable[[], float]
--- a/src/lycheegauge/metrics.py
+++ b/src/lycheegauge/metrics.py
@@ -30,7 +30,7 @@
     def __init__(self) -> None:
         self._exporter: typing.Any = None
         self._counts: collections.Counter[tuple[str, str]] = collections.Counter()
-        self._samples: collections.deque[tuple[str, float]] = collections.deque(
+        self._samples: collections.deque[tuple[str, float, str]] = collections.deque(
             maxlen=PENDING_SAMPLES_MAX
         )
         self._gauges: list[tuple[str, str, collections.abc.Callable[[], float]]] = []
@@ -67,6 +67,14 @@
         """Records the time from a request's arrival to the end of its answer."""
         self._record("total", seconds)
 
+    def count_admission_refusal(self, cause: str) -> None:
+        """Counts one request that the admission of streams refused, by its cause."""
+        self._count("admission_refusals", cause)
+
+    def record_admission_wait(self, route: str, seconds: float) -> None:
+        """Records how long a request waited for capacity at this host."""
+        self._record("admission_wait", seconds, route)
+
     def record_gap(self, seconds: float) -> None:
         """Records the longest pause between two parts of an answer."""
         self._record("gap", seconds)
@@ -110,18 +118,18 @@
         else:
             self._exporter.count(name, label, 1)
 
-    def _record(self, name: str, seconds: float) -> None:
+    def _record(self, name: str, seconds: float, label: str = "") -> None:
         if self._exporter is None:
-            self._samples.append((name, seconds))
+            self._samples.append((name, seconds, label))
         else:
-            self._exporter.record(name, seconds)
+            self._exporter.record(name, seconds, label)
 
     def _open_exporter(self) -> None:
         exporter = importlib.import_module(EXPORTER_MODULE).Exporter()
         for (name, label), count in self._counts.items():
             exporter.count(name, label, count)
-        for name, seconds in self._samples:
-            exporter.record(name, seconds)
+        for name, seconds, label in self._samples:
+            exporter.record(name, seconds, label)
         for gauge in self._gauges:
             exporter.register_gauge(*gauge)
         self._counts.clear()
--- a/tests/failures/streamadmission.feature
+++ b/tests/failures/streamadmission.feature
@@ -11,3 +11,26 @@
 
   Scenario: A new route table keeps the requests that wait
     Then a request that waits is started under the new table
+
+  Scenario: A waiting request starts the moment a stream ends
+    Given an entry host with stream admission and a server with two slots
+    When two streams run and a third request arrives
+    Then the third waits and starts within 50 ms of the end of a stream
+
+  Scenario: A waiting request starts when a stream ends at another host
+    Given an entry host with stream admission and a server with two slots
+    When other hosts hold both slots and a request arrives
+    Then it starts within 0.1 s of their news that a stream has ended
+
+  Scenario: A caller that leaves while it waits is forgotten
+    Given an entry host with stream admission and a server with two slots
+    When two streams run and a third request arrives
+    Then nothing waits as soon as its caller has left
+
+  Scenario: A host that stops refuses the requests that wait
+    Given an entry host with stream admission and a server with two slots
+    When two streams run and a third request arrives
+    Then a stop refuses it with a 503 and 0.05 s
+
+  Scenario: Plain services and deployments without the setting are not affected
+    Then requests of a plain service and those with the setting off get no ticket
--- a/tests/steps/streamadmission.py
+++ b/tests/steps/streamadmission.py
@@ -1,3 +1,4 @@
+import asyncio
 import collections
 import random
 import statistics
@@ -6,7 +7,7 @@
 import behave
 import hypothesis
 from hypothesis import strategies
-from support import hostshares, streamworld
+from support import gatewayhost, hostshares, streamworld
 
 from lycheegauge.internal.coordination import (
     loadnews,
@@ -17,6 +18,7 @@
     streamwaiting,
 )
 from lycheegauge.internal.protocol import roster
+from lycheegauge.internal.transport import clock
 
 START = streamadmission.Verdict.START
 WAIT = streamadmission.Verdict.WAIT
@@ -397,3 +399,186 @@
     assert stream.level == 1 and len(gate.waiting) == 1
     gate.leave(running, 0.2)
     assert gate.start_waiting(view, 0.2) == (stream,)
+
+
+ENGINE = {
+    "step_s": 0.001, "stream_step_s": 0.0001, "steps_per_event": 7,
+    "mean_answer_tokens": 140.0,
+}  # fmt: skip
+
+
+class StreamServer(gatewayhost.ScriptedServer):
+    """Writes events of each stream until the test ends it."""
+
+    def __init__(self):
+        super().__init__(None)
+        self.started_at, self.ended_at, self.ends = {}, {}, {}
+
+    async def _serve(self, reader, writer):
+        self._connections[asyncio.current_task()] = writer
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                name = head.split(" ")[1].strip("/")
+                self.started_at[name] = clock.read_clock()
+                self.ends[name] = asyncio.Event()
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                while not self.ends[name].is_set():
+                    writer.write(b"9\r\ndata: a\n\n\r\n")
+                    await asyncio.sleep(0.02)
+                writer.write(b"0\r\n\r\n")
+                self.ended_at[name] = clock.read_clock()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        writer.close()
+
+
+@behave.given("an entry host with stream admission and a server with two slots")
+def make_host(context):
+    context.server = StreamServer()
+    context.host = gatewayhost.GatewayHost(
+        [context.server], "stream", 1, engine=ENGINE, slots=2,
+        admission={"from_servers": 1},
+    )  # fmt: skip
+    context.runner = asyncio.Runner()
+    context.closers.append(context.runner.close)
+    context.runner.run(context.host.start())
+    context.closers.append(lambda: context.runner.run(context.host.close()))
+    context.calls = {}
+
+
+async def open_streams(context, names):
+    for name in names:
+        call = gatewayhost.call(context.host.address, f"/{name}")
+        context.calls[name] = asyncio.create_task(call)
+        await asyncio.sleep(0.1)
+
+
+@behave.when("two streams run and a third request arrives")
+def start_three(context):
+    context.runner.run(open_streams(context, ["a", "b", "c"]))
+    gate = context.host.forwarder.admission._services["drafting"].gate
+    assert (gate.own, len(gate.waiting)) == (2, 1)
+    assert "c" not in context.server.started_at
+    context.gate = gate
+
+
+async def end_all(context):
+    while not all(call.done() for call in context.calls.values()):
+        for event in context.server.ends.values():
+            event.set()
+        await asyncio.sleep(0.01)
+    return [call.result() for call in context.calls.values()]
+
+
+@behave.then("the third waits and starts within 50 ms of the end of a stream")
+def check_start(context):
+    async def run():
+        context.server.ends["a"].set()
+        await asyncio.sleep(0.2)
+        return await end_all(context)
+
+    answers = context.runner.run(run())
+    assert all(answer.status == 200 for answer in answers)
+    started_s = context.server.started_at["c"] - context.server.ended_at["a"]
+    assert 0.0 <= started_s < 0.05, started_s
+    assert context.gate.own == 0
+
+
+@behave.when("other hosts hold both slots and a request arrives")
+def fill_elsewhere(context):
+    forwarder = context.host.forwarder
+    now = clock.read_clock()
+    demand = forwarder.share.make_demand(now)
+    half = roster.HostShare(demand.sequence, 0.5, 60.0, unused_fraction=0.0)
+    forwarder.share.apply_share(half, now)
+    context.number = 0
+
+    async def run():
+        await open_streams(context, ["a"])
+        report_elsewhere(context, 2)
+        await open_streams(context, ["c"])
+
+    context.runner.run(run())
+    assert "c" not in context.server.started_at
+
+
+def report_elsewhere(context, count):
+    context.number += 1
+    held = (roster.OpenRequests("server-0", count),)
+    news = roster.LoadNews("gateway-2", context.number, held)
+    forwarder = context.host.forwarder
+    forwarder.choice.news.apply(news, clock.read_clock())
+    forwarder.admission.note_news()
+
+
+@behave.then("it starts within 0.1 s of their news that a stream has ended")
+def check_news(context):
+    async def run():
+        # An update counts for a second, so the request waits until the next one.
+        await asyncio.sleep(0.3)
+        assert "c" not in context.server.started_at
+        report_elsewhere(context, 0)
+        told_at = clock.read_clock()
+        await asyncio.sleep(0.2)
+        await end_all(context)
+        return told_at
+
+    told_at = context.runner.run(run())
+    assert context.server.started_at["c"] - told_at < 0.1
+
+
+@behave.then("nothing waits as soon as its caller has left")
+def check_left(context):
+    async def run():
+        context.calls.pop("c").cancel()
+        await asyncio.sleep(0.05)
+        assert (context.gate.own, len(context.gate.waiting)) == (2, 0)
+        await end_all(context)
+        assert "c" not in context.server.started_at
+
+    context.runner.run(run())
+    assert context.gate.own == 0
+
+
+@behave.then("a stop refuses it with a 503 and 0.05 s")
+def check_stop(context):
+    async def run():
+        context.host.start_drain()
+        draining = asyncio.create_task(context.host.finish_drain())
+        refused = await context.calls["c"]
+        await end_all(context)
+        await draining
+        return refused
+
+    refused = context.runner.run(run())
+    assert (refused.status, refused.headers["retry-after"]) == (503, "0.05")
+    assert "c" not in context.server.started_at
+
+
+@behave.then("requests of a plain service and those with the setting off get no ticket")
+def check_unaffected(context):
+    cases = [
+        (None, 1, False),
+        (ENGINE, 0, False),
+        (ENGINE, 2, False),
+        (ENGINE, 1, True),
+    ]
+    for engine, from_servers, has_ticket in cases:
+        host = gatewayhost.GatewayHost(
+            [StreamServer()], "stream", 1, engine=engine,
+            admission={"from_servers": from_servers},
+        )  # fmt: skip
+
+        async def run(host=host):
+            await host.start()
+            admission, index = host.forwarder.admission, host.forwarder.index
+            route = index.find_route(gatewayhost.HOST, "/a")
+            now = clock.read_clock()
+            ticket = admission.make_ticket(
+                "drafting", route, None, "", None, (now, now + 1.0), 0, str
+            )
+            await host.close()
+            return ticket
+
+        assert (asyncio.run(run()) is not None) == has_ticket
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -85,22 +85,25 @@
 class GatewayHost:
     """A forwarder behind a caller address, with a fixed roster and route table."""
 
-    def __init__(self, servers, repetition, attempts_max, limits=None):
+    def __init__(
+        self, servers, repetition, attempts_max, engine=None, slots=8, **sections
+    ):
         part = settings.GatewaySettings(
             name="gateway-1", availability_zone="zone-a",
             caller_address="127.0.0.1:0", readiness_address="127.0.0.1:0",
             peer_address="127.0.0.1:0",
-            roster={"seed_hosts": ("127.0.0.1:1",)}, limits=limits or {},
+            roster={"seed_hosts": ("127.0.0.1:1",)}, **sections,
         )  # fmt: skip
-        self._servers = servers
+        self._servers, self._slots = servers, slots
         self._table = {
             "version": 1,
-            "services": [{"name": "drafting"}],
+            "services": [{"name": "drafting", "engine": engine}],
             "routes": [
                 {
                     "name": "route", "host": HOST, "path_prefix": "/",
                     "services": [{"service": "drafting"}], "timeout_s": 5.0,
                     "repetition": repetition, "attempts_max": attempts_max,
+                    "target_first_s": 0.4, "target_gap_s": 0.12,
                 }
             ],
         }  # fmt: skip
@@ -129,7 +132,7 @@
                     "drafting",
                     server.address,
                     "zone-a",
-                    getattr(server, "slots", 8),
+                    getattr(server, "slots", self._slots),
                     0,
                 )
             )
