Share the measured pass times of services over all entry hosts

Cause: a host without streams of its own does not know how long passes are, and would admit by the stated times while the group is slow. Change: pulls carry each service's pass time at a host, and replies the median over hosts. The leader computes the medians at most every 0.05 s.

--- a/src/lycheegauge/internal/coordination/rosterregistry.py
+++ b/src/lycheegauge/internal/coordination/rosterregistry.py
@@ -8,8 +8,11 @@
 import collections
 import collections.abc
 import dataclasses
+import math
+import statistics
 import typing
 
+from lycheegauge.internal.coordination import streamcapacity
 from lycheegauge.internal.protocol import roster
 
 MAX_REMOVALS = 1024
@@ -45,6 +48,10 @@
     host_s: float
 
 
+MEDIANS_AGE_MAX_S = 0.05
+"""How long the medians of pass times are reused, in seconds, so that the cost of a pull
+does not grow with the number of hosts."""
+
 Listing = typing.TypeVar("Listing", roster.ServerListing, roster.HostListing)
 
 
@@ -88,6 +95,9 @@
         self._gaps: collections.deque[tuple[float, roster.ServiceGap]] = (
             collections.deque(maxlen=MAX_GAPS)
         )
+        self._passes: dict[str, tuple[float, tuple[roster.ServicePass, ...]]] = {}
+        self._medians: tuple[roster.ServicePass, ...] = ()
+        self._medians_at = -math.inf
 
     def record_announcement(self, listing: roster.ServerListing, now: float) -> bool:
         """Records a backend server's announcement.
@@ -169,6 +179,41 @@
                 longest[gap.service] = max(longest.get(gap.service, 0.0), gap.longest_s)
         return tuple(roster.ServiceGap(*item) for item in sorted(longest.items()))
 
+    def record_passes(
+        self, host: str, passes: tuple[roster.ServicePass, ...], now: float
+    ) -> None:
+        """Records the pass times that a host measured lately."""
+        if passes:
+            self._passes[host] = (now, passes)
+        else:
+            self._passes.pop(host, None)
+
+    def list_median_passes(self, now: float) -> tuple[roster.ServicePass, ...]:
+        """Lists each service's median pass time over the hosts with a recent report.
+
+        The median ignores single hosts that measure something else.
+        """
+        if 0.0 <= now - self._medians_at < MEDIANS_AGE_MAX_S:
+            return self._medians
+        since = now - streamcapacity.REPORT_AGE_MAX_S
+        self._passes = {
+            host: item for host, item in self._passes.items() if item[0] >= since
+        }
+        by_service: dict[str, list[roster.ServicePass]] = {}
+        for _, passes in self._passes.values():
+            for item in passes:
+                by_service.setdefault(item.service, []).append(item)
+        self._medians = tuple(
+            roster.ServicePass(
+                service,
+                statistics.median(item.pass_s for item in items),
+                sum(item.samples for item in items),
+            )
+            for service, items in sorted(by_service.items())
+        )
+        self._medians_at = now
+        return self._medians
+
     def update_silent(self, silent: collections.abc.Collection[str]) -> None:
         """Records which of all servers are unreachable."""
         for name in self._servers:
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -274,6 +274,7 @@
                 request.host.name, request.open_requests
             )
             self.get_registry().record_gaps(request.gaps, now)
+            self.get_registry().record_passes(request.host.name, request.passes, now)
         if request.log_host:
             # Begins the appointments of a new term, if there is one.
             self.get_registry()
@@ -476,6 +477,7 @@
             refused,
             pull_interval_s=self.get_pull_interval(),
             part_list=part_list,
+            passes=self._registry.list_median_passes(clock.read_clock()),
         )
 
     def get_pull_interval(self) -> float:
--- a/tests/properties/streamadmission.feature
+++ b/tests/properties/streamadmission.feature
@@ -19,6 +19,7 @@
   Scenario: Pass times are measured from whole events
     Then events that arrive together count as passes of their own
     And a pass time that is too old is unknown and the stated model is used
+    And a wrong pass time of one host does not change the median of all
     And the capacity does not follow the lag between streams and passes
 
   Scenario: Each level and each large request gets its share
--- a/tests/steps/streamadmission.py
+++ b/tests/steps/streamadmission.py
@@ -11,6 +11,7 @@
 
 from lycheegauge.internal.coordination import (
     loadnews,
+    rosterregistry,
     serverchoice,
     streamadmission,
     streamcapacity,
@@ -218,6 +219,21 @@
     assert gate.meter.get_pass(3.0) is None
 
 
+@behave.then("a wrong pass time of one host does not change the median of all")
+def check_median(context):
+    book = rosterregistry.RosterRegistry(
+        "book", rosterregistry.EntryLifetimes(4.0, 2.0)
+    )
+    for number in range(5):
+        pass_s = 9.0 if number == 0 else 0.1
+        book.record_passes(f"host {number}", (roster.ServicePass("s", pass_s, 8),), 1.0)
+    assert book.list_median_passes(1.5) == (roster.ServicePass("s", 0.1, 40),)
+    # A host's report is replaced by its next one, and expires.
+    book.record_passes("host 1", (), 1.55)
+    assert book.list_median_passes(1.6) == (roster.ServicePass("s", 0.1, 32),)
+    assert book.list_median_passes(2.0) == ()
+
+
 @behave.then("the capacity does not follow the lag between streams and passes")
 def check_lag(context):
     world = streamworld.World(skew=2.9, seed=3)
