--- a/src/lycheegauge/internal/coordination/eventstream.py
+++ b/src/lycheegauge/internal/coordination/eventstream.py
@@ -44,7 +44,7 @@
         joined = self._buffer + data
         end = _find_last_event_end(joined)
         if end:
-            self._count += _count_events(joined[:end])
+            self._count += count_events(joined[:end])
             self._update_last_id(joined[:end])
             self.attempt_has_events = True
         # Blank lines belong to no event. One may be the LF of a CR LF whose CR came
@@ -68,11 +68,11 @@
             self.last_id = ids[-1].strip().decode("ascii", "replace")
 
 
-def _count_events(data: bytes) -> int:
-    """Counts the complete events in bytes that end with one."""
-    if b"\r" not in data:
-        return data.count(b"\n\n")
-    return sum(1 for _ in EVENT_END.finditer(data))
+def count_events(events: bytes) -> int:
+    """Counts the events in bytes that ``EventSplitter.feed`` returned."""
+    if b"\r" not in events:
+        return events.count(b"\n\n")
+    return sum(1 for _ in EVENT_END.finditer(events))
 
 
 def _find_last_event_end(data: bytes) -> int:
--- a/src/lycheegauge/internal/coordination/loadnews.py
+++ b/src/lycheegauge/internal/coordination/loadnews.py
@@ -18,7 +18,7 @@
 
     number: int
     received_at: float
-    counts: dict[str, int]
+    open_requests: dict[str, roster.OpenRequests]
 
 
 class LoadNewsStore:
@@ -26,7 +26,9 @@
 
     def __init__(self) -> None:
         self._by_host: dict[str, _HostNews] = {}
-        self._totals: collections.Counter[str] = collections.Counter()
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._tokens: collections.Counter[str] = collections.Counter()
+        self._work_ms: collections.Counter[str] = collections.Counter()
 
     def apply(self, news: roster.LoadNews, now: float) -> bool:
         """Applies an update; returns whether it is the newest from its host."""
@@ -34,19 +36,37 @@
         if known is not None and news.number <= known.number:
             return False
         if known is not None:
-            self._totals.subtract(known.counts)
-        counts = {item.server: item.count for item in news.open_requests}
-        self._by_host[news.host] = _HostNews(news.number, now, counts)
-        self._totals.update(counts)
+            self._add(known, -1)
+        open_requests = {item.server: item for item in news.open_requests}
+        added = _HostNews(news.number, now, open_requests)
+        self._by_host[news.host] = added
+        self._add(added, 1)
         return True
 
+    def _add(self, host_news: _HostNews, sign: int) -> None:
+        for server, item in host_news.open_requests.items():
+            self._counts[server] += sign * item.count
+            if item.tokens:
+                self._tokens[server] += sign * item.tokens
+            if item.work_ms:
+                self._work_ms[server] += sign * item.work_ms
+
     def expire(self, now: float) -> None:
         """Removes hosts that have sent no update recently."""
         for host, host_news in list(self._by_host.items()):
             if host_news.received_at < now - NEWS_LIFETIME_S:
-                self._totals.subtract(host_news.counts)
+                self._add(host_news, -1)
                 del self._by_host[host]
-        self._totals = +self._totals
+        self._counts = +self._counts
+        self._tokens = +self._tokens
+        self._work_ms = +self._work_ms
+
+    def forget_server(self, server: str) -> None:
+        """Removes what was reported for a server that has restarted."""
+        for host_news in self._by_host.values():
+            host_news.open_requests.pop(server, None)
+        for totals in (self._counts, self._tokens, self._work_ms):
+            totals.pop(server, None)
 
     def is_complete(self, hosts: collections.abc.Iterable[str]) -> bool:
         """Returns whether there is an update from each of ``hosts``."""
@@ -54,7 +74,27 @@
 
     def count(self, server: str) -> int:
         """Returns the number of open requests reported for a server."""
-        return self._totals[server]
+        return self._counts[server]
+
+    def count_tokens(self, server: str) -> int:
+        """Returns the number of tokens reported to be held at a server."""
+        return self._tokens[server]
+
+    def get_work_s(self, server: str) -> float:
+        """Returns the remaining work reported for a server, in seconds."""
+        return self._work_ms[server] / 1000
+
+    def get_oldest_age_s(self, now: float) -> float:
+        """Returns the age of the oldest update in use, in seconds; 0 for none."""
+        received = (item.received_at for item in self._by_host.values())
+        return now - min(received, default=now)
+
+    def count_by_host(self) -> dict[str, int]:
+        """Counts the open requests of each host from which there is an update."""
+        return {
+            host: sum(item.count for item in host_news.open_requests.values())
+            for host, host_news in self._by_host.items()
+        }
 
     def list_hosts(self) -> typing.KeysView[str]:
         """Lists the hosts from which there is an update."""
--- a/src/lycheegauge/internal/coordination/rosterregistry.py
+++ b/src/lycheegauge/internal/coordination/rosterregistry.py
@@ -92,6 +92,8 @@
         self._removals: list[tuple[int, str, bool]] = []
         self._open_requests: dict[str, tuple[roster.OpenRequests, ...]] = {}
         self._open_totals: collections.Counter[str] = collections.Counter()
+        self._open_tokens: collections.Counter[str] = collections.Counter()
+        self._open_work_ms: collections.Counter[str] = collections.Counter()
         self._gaps: collections.deque[tuple[float, roster.ServiceGap]] = (
             collections.deque(maxlen=MAX_GAPS)
         )
@@ -116,6 +118,8 @@
             self._remove_server(conflicting.name)
         if known is not None and known.listing.incarnation == listing.incarnation:
             listing = dataclasses.replace(listing, pace=known.listing.pace)
+        if known is not None and known.listing.born_ms < listing.born_ms:
+            self._forget_work(listing.name)
         is_changed = known is None or _differs(listing, known.listing)
         if known is None or is_changed:
             self._cursor += 1
@@ -163,6 +167,16 @@
         self._open_requests[host] = open_requests
         for item in open_requests:
             self._open_totals[item.server] += item.count
+            if item.tokens or item.work_ms:
+                self._open_tokens[item.server] += item.tokens
+                self._open_work_ms[item.server] += item.work_ms
+
+    def count_open_by_host(self) -> dict[str, int]:
+        """Counts the open requests that each entry host reported last."""
+        return {
+            host: sum(item.count for item in open_requests)
+            for host, open_requests in self._open_requests.items()
+        }
 
     def record_gaps(
         self, gaps: collections.abc.Iterable[roster.ServiceGap], now: float
@@ -233,22 +247,47 @@
 
     def list_open_elsewhere(self, host: str) -> tuple[roster.OpenRequests, ...]:
         """Sums the open requests per server at all hosts but ``host``."""
-        own = {item.server: item.count for item in self._open_requests.get(host, ())}
-        counts = (
-            (server, total - own.get(server, 0))
-            for server, total in self._open_totals.items()
-        )
-        return tuple(
-            roster.OpenRequests(server, count)
-            for server, count in sorted(counts)
-            if count
-        )
+        own = {item.server: item for item in self._open_requests.get(host, ())}
+        elsewhere = []
+        for server, total in sorted(self._open_totals.items()):
+            mine = own.get(server, roster.OpenRequests(server, 0))
+            if total > mine.count:
+                elsewhere.append(
+                    roster.OpenRequests(
+                        server,
+                        total - mine.count,
+                        self._open_tokens[server] - mine.tokens,
+                        self._open_work_ms[server] - mine.work_ms,
+                    )
+                )
+        return tuple(elsewhere)
+
+    def _forget_work(self, server: str) -> None:
+        """Forgets the tokens and the work at a server that has restarted.
+
+        The requests are counted until their hosts report that they have ended.
+        """
+        self._open_tokens.pop(server, None)
+        self._open_work_ms.pop(server, None)
+        for host, open_requests in self._open_requests.items():
+            if any(item.server == server and item.tokens for item in open_requests):
+                self._open_requests[host] = tuple(
+                    roster.OpenRequests(server, item.count)
+                    if item.server == server
+                    else item
+                    for item in open_requests
+                )
 
     def _subtract_open_requests(self, host: str) -> None:
         for item in self._open_requests.pop(host, ()):
             self._open_totals[item.server] -= item.count
+            if item.tokens or item.work_ms:
+                self._open_tokens[item.server] -= item.tokens
+                self._open_work_ms[item.server] -= item.work_ms
             if not self._open_totals[item.server]:
                 del self._open_totals[item.server]
+                self._open_tokens.pop(item.server, None)
+                self._open_work_ms.pop(item.server, None)
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Removes expired entries and returns their names."""
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -83,11 +83,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenRequests:
-    """The open requests at a backend server, and the tokens that they hold there."""
+    """The open requests at a backend server, and the tokens that they hold there.
+
+    ``work_ms`` is the time that they will still add to the server's steps, in ms.
+    """
 
     server: str
     count: int
     tokens: int = 0
+    work_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/steps/slowreaders.py
+++ b/tests/steps/slowreaders.py
@@ -26,7 +26,7 @@
 async def open_host(held_bytes, repetition="unsafe", body_bytes=2_000_000):
     server = rawpeers.RawServer(b"x" * body_bytes)
     limits = {"held_bytes": held_bytes}
-    host = gatewayhost.GatewayHost([server], repetition, 3, limits)
+    host = gatewayhost.GatewayHost([server], repetition, 3, limits=limits or {})
     await host.start()
     host.settle()
     try:
