Choose servers by expected work, pace, memory and zone

The choice by request counts sent as many streams to slow ranks as to others, which made every pass of their group wait for them, and crossed zones for two answers in three. With server_choice.weigh_work a host now compares servers by the work that their streams and the new request add, times their pace, and leaves out servers whose memory the request would overfill; one that no server's memory holds is answered 413. If the best of the drawn servers is slow, all are compared: one stream at a slow rank is enough to make all passes longer. With zone_tolerance it takes a server in its own zone while that is not much busier and has a margin of free slots. The load that servers state in answers counts for a second. Off by default; the policy is one argument of the decision. A wave needs no forecast: the choice leaves the zone by the loads that it knows.

--- a/src/lycheegauge/internal/coordination/forwardrules.py
+++ b/src/lycheegauge/internal/coordination/forwardrules.py
@@ -59,6 +59,7 @@
     work.RefusalReason.UNKNOWN_KEY: 401,
     work.RefusalReason.BAD_REQUEST: 400,
     work.RefusalReason.QUARANTINED: 422,
+    work.RefusalReason.REQUEST_TOO_LARGE: 413,
 }
 _NOT_RUN_STATUS = 503
 _UNKNOWN_STATUS = 502
--- a/src/lycheegauge/internal/coordination/servercandidates.py
+++ b/src/lycheegauge/internal/coordination/servercandidates.py
@@ -1,10 +1,13 @@
 """Collects what an entry host knows of the servers of a service."""
 
 import collections.abc
+import dataclasses
 
 from lycheegauge.internal.coordination import (
     coldratelimit,
+    enginememory,
     hostshares,
+    requestwork,
     rosterview,
     serverchoice,
     serverselection,
@@ -17,6 +20,24 @@
 server resets connections beyond its limit, and probes and other callers need some."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preferences:
+    """How the servers of a service are compared.
+
+    Attributes:
+        availability_zone: The host's own zone.
+        zone_tolerance: The fraction of slots by which a server there may be busier than
+            the best one elsewhere; ``None`` ignores zones.
+        weighs_work: Whether their memory and expected work count.
+        from_servers: The number of servers of a service from which this is used.
+    """
+
+    availability_zone: str = ""
+    zone_tolerance: float | None = None
+    weighs_work: bool = False
+    from_servers: int = 0
+
+
 class ServerCandidates:
     """Joins a host's views of the servers.
 
@@ -28,6 +49,7 @@
         share: This host's fraction of all limits.
         count_connections: Returns, for a server's incarnation, how many connections
             this host has open, or -1 if one of them is idle.
+        preferences: How servers are compared.
     """
 
     def __init__(
@@ -38,6 +60,7 @@
         cold_limiter: coldratelimit.ColdRateLimiter,
         share: hostshares.HostShareHolder,
         count_connections: collections.abc.Callable[[str], int],
+        preferences: Preferences,
     ) -> None:
         self._view = view
         self._choice = choice
@@ -45,12 +68,14 @@
         self._cold_limiter = cold_limiter
         self._share = share
         self._count_connections = count_connections
+        self._preferences = preferences
 
     def collect(
         self,
         declared: routetables.ServiceDeclaration,
         tried: collections.abc.Container[str],
         now: float,
+        size: requestwork.ExpectedSize | None = None,
     ) -> list[serverselection.Candidate]:
         """Lists the servers of a service that the routing state allows.
 
@@ -58,6 +83,7 @@
             declared: The service.
             tried: Names of the servers that the request was sent to.
             now: Current time in seconds.
+            size: The expected size of the request; ``None`` if it is not known.
         """
         fraction = self._share.get_fraction(now)
         interval = self._share.get_interval(now)
@@ -87,9 +113,52 @@
                         server.name, declared.cold_rate, fraction, now
                     ),
                     has_failed=self._choice.has_failed(server.name, now),
+                    is_in_zone=server.availability_zone
+                    == self._preferences.availability_zone,
+                    counts_age_s=self._choice.get_counts_age_s(server.name, now),
+                    stated_age_s=self._choice.get_stated_age_s(server.name, now),
+                    listing_age_s=now - self._view.refreshed_at,
                 )
             )
-        return candidates
+        model = requestwork.make_model(declared)
+        if model is None or size is None or not self.weighs_work(len(candidates)):
+            return candidates
+        return [self._weigh(item, model, size, now) for item in candidates]
+
+    def weighs_work(self, servers: int) -> bool:
+        """Tells whether the servers of a service are compared by their work."""
+        preferences = self._preferences
+        return preferences.weighs_work and servers >= preferences.from_servers
+
+    def get_zone_tolerance(self, servers: int) -> float | None:
+        """Returns the zone tolerance for a service with so many servers."""
+        if servers < self._preferences.from_servers:
+            return None
+        return self._preferences.zone_tolerance
+
+    def _weigh(
+        self,
+        candidate: serverselection.Candidate,
+        model: requestwork.WorkModel,
+        size: requestwork.ExpectedSize,
+        now: float,
+    ) -> serverselection.Candidate:
+        """Adds the memory and the expected work of a server."""
+        server = candidate.server
+        usual_s = model.estimate_usual_work()
+        open_s = self._choice.estimate_work(server, usual_s, now)
+        held = self._choice.estimate_tokens(server, now)
+        memory = model.profile.memory_tokens
+        # The request's own work counts, so that a slow server without requests is not
+        # taken for a free one.
+        work_s = open_s + model.estimate_work(size)
+        return dataclasses.replace(
+            candidate,
+            can_hold=not memory or size.tokens <= memory,
+            has_room=enginememory.has_room(held, size.tokens, memory),
+            work_s=work_s * (server.pace or 1.0),
+            held_tokens=held,
+        )
 
     def is_cold(
         self,
--- a/src/lycheegauge/internal/coordination/serverselection.py
+++ b/src/lycheegauge/internal/coordination/serverselection.py
@@ -4,9 +4,10 @@
 random source that draws the servers to compare. The forwarder sends by it, and
 operators can ask for it without sending anything.
 
-From a few servers drawn at random the one with the lowest estimated fraction of busy
-slots is chosen (the power of d choices, Mitzenmacher 2001), so that hosts with the same
-old data don't all choose the same server.
+From a few servers drawn at random the one with the least expected work is chosen, or
+with the lowest estimated fraction of busy slots if the work is not known. With this
+"power of d choices" (Mitzenmacher 2001) hosts with the same old data don't all choose
+the same server.
 
 Rules are applied in the order in which they are registered. A rule with a refusal
 excludes the servers that break it; any other rule is a preference, which is ignored if
@@ -15,6 +16,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 
 from lycheegauge.internal.protocol import roster, work
@@ -47,6 +49,15 @@
         is_cold: Whether it is cold.
         allows_cold: Whether it is warm, or its cold rate allows another request.
         has_failed: Whether it failed here recently.
+        can_hold: Whether its memory is large enough for the request.
+        has_room: Whether the request fits beside those that it holds.
+        work_s: The expected time that its open requests and this one will add to its
+            steps, in seconds; 0 if it is not known.
+        held_tokens: The estimated tokens that its requests hold.
+        is_in_zone: Whether it is in the host's own availability zone.
+        counts_age_s: Age of other hosts' counts, in seconds; infinite for none.
+        stated_age_s: Age of the load that it stated, in seconds; infinite for none.
+        listing_age_s: Age of the roster, in seconds.
     """
 
     server: roster.ServerListing
@@ -61,6 +72,14 @@
     is_cold: bool = False
     allows_cold: bool = True
     has_failed: bool = False
+    can_hold: bool = True
+    has_room: bool = True
+    work_s: float = 0.0
+    held_tokens: float = 0.0
+    is_in_zone: bool = False
+    counts_age_s: float = math.inf
+    stated_age_s: float = math.inf
+    listing_age_s: float = math.inf
 
 
 Condition = collections.abc.Callable[[Candidate], bool]
@@ -122,6 +141,11 @@
     return register
 
 
+@register_rule("can hold the request", work.RefusalReason.REQUEST_TOO_LARGE)
+def _can_hold(candidate: Candidate) -> bool:
+    return candidate.can_hold
+
+
 @register_rule("stays", work.RefusalReason.NO_BACKEND_SERVER)
 def _stays(candidate: Candidate) -> bool:
     return not candidate.is_leaving
@@ -147,6 +171,11 @@
     return candidate.is_within_limit
 
 
+@register_rule("has memory left", work.RefusalReason.SERVER_MEMORY_FULL)
+def _has_room(candidate: Candidate) -> bool:
+    return candidate.has_room
+
+
 @register_rule("was not tried")
 def _was_not_tried(candidate: Candidate) -> bool:
     return not candidate.is_tried
@@ -166,6 +195,7 @@
     candidates: collections.abc.Iterable[Candidate],
     has_recent_news: bool,
     random_source: random.Random,
+    zone_tolerance: float | None = None,
 ) -> Selection:
     """Selects a server for a request.
 
@@ -174,6 +204,8 @@
         has_recent_news: Whether there are updates of the servers' loads from all
             hosts.
         random_source: Draws the servers to compare.
+        zone_tolerance: The fraction of slots by which a server in the host's zone may
+            be busier than the best one elsewhere; ``None`` ignores zones.
     """
     remaining = list(candidates)
     excluded: list[Exclusion] = []
@@ -193,19 +225,50 @@
             return Selection(None, rule.refusal, tuple(remaining), tuple(excluded))
         remaining = kept
     count = SERVERS_SAMPLED_WITH_NEWS if has_recent_news else SERVERS_SAMPLED
-    chosen = _choose_least_busy(remaining, count, random_source)
+    if zone_tolerance is None:
+        chosen = _choose_least_loaded(remaining, count, random_source)
+    else:
+        chosen = _choose_by_zone(remaining, count, random_source, zone_tolerance)
     return Selection(chosen, None, tuple(remaining), tuple(excluded))
 
 
-def _choose_least_busy(
+def _choose_by_zone(
+    candidates: collections.abc.Sequence[Candidate],
+    count: int,
+    random_source: random.Random,
+    tolerance: float,
+) -> Candidate:
+    """Chooses a server in the host's zone unless callers would wait for longer."""
+    in_zone = [item for item in candidates if item.is_in_zone]
+    elsewhere = [item for item in candidates if not item.is_in_zone]
+    if not in_zone or not elsewhere:
+        return _choose_least_loaded(candidates, count, random_source)
+    near = _choose_least_loaded(in_zone, count, random_source)
+    far = _choose_least_loaded(elsewhere, count, random_source)
+    if near.busy <= 1.0 - tolerance and near.busy - far.busy <= tolerance:
+        return near
+    return min(near, far, key=_rank_load)
+
+
+def _choose_least_loaded(
     candidates: collections.abc.Sequence[Candidate],
     count: int,
     random_source: random.Random,
 ) -> Candidate:
-    """Chooses the least busy of a few servers; of all, if those are full."""
+    """Chooses the least loaded of a few servers; of all, if those are full or slow."""
     sampled = random_source.sample(candidates, min(count, len(candidates)))
-    best = min(sampled, key=lambda item: item.busy)
-    if best.busy < 1.0:
+    best = min(sampled, key=_rank_load)
+    if best.busy < 1.0 and not _is_slow(best):
         return best
-    # All drawn servers are full, but another one may have a free slot.
-    return min(candidates, key=lambda item: item.busy)
+    # Another server than those drawn may have a free slot or run at its usual pace. A
+    # single stream at a slow rank makes the passes of its whole group longer.
+    return min(candidates, key=_rank_load)
+
+
+def _is_slow(candidate: Candidate) -> bool:
+    return bool(candidate.work_s) and candidate.server.pace > 1.0
+
+
+def _rank_load(candidate: Candidate) -> tuple[bool, float, float]:
+    """Orders servers by their load, those with a free slot first."""
+    return candidate.busy >= 1.0, candidate.work_s, candidate.busy
--- a/src/lycheegauge/internal/coordination/serverstatements.py
+++ b/src/lycheegauge/internal/coordination/serverstatements.py
@@ -73,6 +73,22 @@
     )
 
 
+def parse_load(header: str) -> int | None:
+    """Reads how many requests a server has, running and waiting.
+
+    Args:
+        header: ``RUNNING,WAITING,SLOTS``.
+
+    Returns:
+        The number; ``None`` if there is none or it can't be read.
+    """
+    parts = header.split(",", 2)
+    if len(parts) < 2:
+        return None
+    running, waiting = (bounds.parse_count(part.strip()) for part in parts[:2])
+    return None if running is None or waiting is None else running + waiting
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
     """Which of an answer's statements were not known before."""
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -11,6 +11,7 @@
     headers,
     memorylimits,
     repeatbudget,
+    requestwork,
     routeindex,
 )
 from lycheegauge.internal.daemons import (
@@ -71,6 +72,7 @@
         self._deadline = math.inf
         self._ticket: streamadmissions.Ticket | None = None
         self._tried_servers: set[str] = set()
+        self._size: requestwork.ExpectedSize | None = None
         self._runs = 0
         self._refusals = 0
         self._may_have_run = False
@@ -154,6 +156,7 @@
         ):
             return shared.refuse(work.RefusalReason.QUARANTINED)
         self._service = routeindex.choose_service(self._route, shared.random_source)
+        self._size = shared.expect_size(self._service, exchange.headers)
         self._parts = self._list_parts()
         if self._find_refused_part():
             return self._refuse_part()
@@ -234,7 +237,9 @@
         assert self._route is not None
         connect_failures = 0
         while True:
-            chosen = self._shared.choose_server(self._service, self._tried_servers)
+            chosen = self._shared.choose_server(
+                self._service, self._tried_servers, self._size
+            )
             if isinstance(chosen, forwardrules.GivenUp):
                 if self._may_have_run:
                     return self._give_up(chosen.reason, chosen.detail)
@@ -327,9 +332,9 @@
             self._deadline,
             self._response.last_event_id,
         )
-        shared.note_sent(server)
+        brought = shared.note_sent(server, self._size)
         self._tried_servers.add(server.name)
-        self._response.begin_attempt(self._service, server.name, self._parts)
+        self._response.begin_attempt(self._service, server.name, self._parts, brought)
         is_complete = False
         sent_at = self._sent_at = clock.read_clock()
         try:
@@ -378,7 +383,9 @@
         except errors.BorderError as error:
             return self._give_up(work.RefusalReason.BAD_REQUEST, str(error))
         finally:
-            shared.note_ended(server)
+            shared.note_ended(server, brought)
+            if brought is not None:
+                self._size = brought.make_rest()
             if is_complete:
                 shared.pool.release(server.incarnation, connection)
             else:
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -22,6 +22,7 @@
     progress,
     repeatbudget,
     requestoutcomes,
+    requestwork,
     rosterview,
     routeindex,
     servercandidates,
@@ -122,6 +123,12 @@
             self.cold_limiter,
             self.share,
             self._count_connections,
+            servercandidates.Preferences(
+                part.availability_zone,
+                part.server_choice.zone_tolerance,
+                part.server_choice.weigh_work,
+                part.server_choice.from_servers,
+            ),
         )
         self.progress = progress.ServerProgress()
         self.crashdetector = crashdetector.CrashDetector()
@@ -185,6 +192,8 @@
             )
         if "roster" in changed:
             self.choice.remove_absent(self.view.servers)
+            if self.part.server_choice.weigh_work:
+                self.choice.update_servers(self.view.servers.values())
             self._detect_crashes()
             self.sweep()
 
@@ -332,28 +341,59 @@
         ]
 
     def choose_server(
-        self, service: str, tried: set[str]
+        self,
+        service: str,
+        tried: set[str],
+        size: requestwork.ExpectedSize | None = None,
     ) -> roster.ServerListing | forwardrules.GivenUp:
         """Chooses a server for a request, or returns why there is none."""
-        selection = self.select_server(service, tried)
+        selection = self.select_server(service, tried, size)
         if selection.chosen is None:
-            return self._refuse_selection(selection)
+            return self._refuse_selection(selection, size)
         server = selection.chosen.server
         if selection.chosen.is_cold:
             self.cold_limiter.take(server.name)
         self.statements.take(server.incarnation)
         return server
 
-    def select_server(self, service: str, tried: set[str]) -> serverselection.Selection:
+    def select_server(
+        self,
+        service: str,
+        tried: set[str],
+        size: requestwork.ExpectedSize | None = None,
+    ) -> serverselection.Selection:
         """Decides where a request may be sent; changes nothing."""
         assert self.index is not None
         candidates = self._candidates.collect(
-            self.index.services[service], tried, clock.read_clock()
+            self.index.services[service], tried, clock.read_clock(), size
         )
         return serverselection.select_server(
-            candidates, self.choice.has_recent_news, self.random_source
+            candidates,
+            self.choice.has_recent_news,
+            self.random_source,
+            self._candidates.get_zone_tolerance(len(candidates)),
         )
 
+    def expect_size(
+        self, service: str, headers: collections.abc.Mapping[str, str]
+    ) -> requestwork.ExpectedSize | None:
+        """Estimates a request's size; ``None`` if servers are not compared by work."""
+        model = self._make_work_model(service)
+        if model is None:
+            return None
+        names = self.dialect.headers
+        stated = self.dialect.parse_request_size(
+            headers.get(names.token_counts, ""), headers.get(names.length_hint, "")
+        )
+        return model.expect_size(stated)
+
+    def _make_work_model(self, service: str) -> requestwork.WorkModel | None:
+        """Makes the model of a service's engines; ``None`` if it is not used."""
+        declared = self.index.services.get(service) if self.index else None
+        if declared is None or not self.part.server_choice.weigh_work:
+            return None
+        return requestwork.make_model(declared)
+
     def _count_connections(self, incarnation: str) -> int:
         """Counts this host's connections to a server; -1 if one of them is idle."""
         if self.pool.has_idle(incarnation):
@@ -361,10 +401,16 @@
         return self.pool.count_open(incarnation)
 
     def _refuse_selection(
-        self, selection: serverselection.Selection
+        self,
+        selection: serverselection.Selection,
+        size: requestwork.ExpectedSize | None,
     ) -> forwardrules.GivenUp:
         """Builds the refusal of a request that no server may get now."""
         assert selection.refusal is not None
+        if selection.refusal is work.RefusalReason.REQUEST_TOO_LARGE:
+            assert size is not None
+            needed = f"the request needs {size.tokens} tokens of a server's memory"
+            return self.refuse(selection.refusal, f"{needed}, more than one has")
         if selection.refusal is work.RefusalReason.SERVER_WAIT:
             return self._refuse_by_wait(selection.remaining)
         if selection.refusal is work.RefusalReason.SERVER_LIMIT:
@@ -404,6 +450,10 @@
         """Records what a server's answer states about the server."""
         now = clock.read_clock()
         names = self.dialect.headers
+        if self.part.server_choice.weigh_work:
+            stated = serverstatements.parse_load(head.get(names.server_load))
+            if stated is not None:
+                self.choice.note_stated_load(server.name, stated, now)
         statement = serverstatements.read_statement(
             head.status,
             head.get(names.server_limit),
@@ -437,16 +487,36 @@
         now = clock.read_clock()
         return self.statements.may_send(server.incarnation, now)
 
-    def note_sent(self, server: roster.ServerListing) -> None:
-        """Records that a request is sent to a server."""
+    def note_sent(
+        self,
+        server: roster.ServerListing,
+        size: requestwork.ExpectedSize | None = None,
+    ) -> requestwork.RequestWork | None:
+        """Records that a request is sent to a server.
+
+        Returns:
+            What it holds and brings there; ``None`` if ``size`` is not given.
+        """
         self.choice.note_sent(server.name)
         self.statements.note_sent(server.incarnation)
         self.on_load_changed()
+        model = self._make_work_model(server.service)
+        if size is None or model is None:
+            return None
+        brought = requestwork.RequestWork(server.incarnation, size, model)
+        self.choice.memory.add(brought)
+        return brought
 
-    def note_ended(self, server: roster.ServerListing) -> None:
+    def note_ended(
+        self,
+        server: roster.ServerListing,
+        brought: requestwork.RequestWork | None = None,
+    ) -> None:
         """Records that a request at a server ended."""
         self.choice.note_ended(server.name)
         self.statements.note_ended(server.incarnation)
+        if brought is not None:
+            self.choice.memory.remove(brought)
         self.on_load_changed()
 
     def note_pass(self, service: str, gap_s: float, events: int) -> None:
--- a/src/lycheegauge/internal/daemons/responseforwarding.py
+++ b/src/lycheegauge/internal/daemons/responseforwarding.py
@@ -5,7 +5,12 @@
 import tornado.httputil
 
 from lycheegauge import errors
-from lycheegauge.internal.coordination import eventstream, headers, partdetector
+from lycheegauge.internal.coordination import (
+    eventstream,
+    headers,
+    partdetector,
+    requestwork,
+)
 from lycheegauge.internal.daemons import forwarder, requestrecord
 from lycheegauge.internal.protocol import routetables
 from lycheegauge.internal.transport import clock, ingress, upstream
@@ -46,6 +51,7 @@
         self._suspicions: partdetector.Suspicions = {}
         self._first_written_at: float | None = None
         self._event_at: float | None = None
+        self._brought: requestwork.RequestWork | None = None
         self.splitter: eventstream.EventSplitter | None = None
         self.is_settled = False
 
@@ -54,14 +60,22 @@
         """The id of the last whole event that was passed on; empty for none."""
         return self.splitter.last_id if self.splitter else ""
 
-    def begin_attempt(self, service: str, server: str, parts: tuple[str, ...]) -> None:
+    def begin_attempt(
+        self,
+        service: str,
+        server: str,
+        parts: tuple[str, ...],
+        brought: requestwork.RequestWork | None = None,
+    ) -> None:
         """Prepares for the response of another server.
 
         Args:
             service: The request's service.
             server: The server's name.
             parts: The parts that the request's prompt shares with others.
+            brought: The tokens and the work that the request brings to the server.
         """
+        self._brought = brought
         self._service, self._server, self._parts = service, server, parts
         detector = self._shared.crashdetector.parts
         self._suspicions = detector.list_suspicions(parts)
@@ -137,7 +151,7 @@
         """Forwards a stream that no other server can resume, as its bytes arrive."""
         splitter = eventstream.EventSplitter()
         while part := await connection.read_chunk():
-            splitter.feed(part)
+            self._count_events(splitter.feed(part))
             _check_event_size(splitter)
             if not self._exchange.is_started:
                 self._start(head)
@@ -159,6 +173,7 @@
         splitter.begin_attempt()
         while part := await connection.read_chunk():
             events = splitter.feed(part)
+            self._count_events(events)
             _check_event_size(splitter)
             self._exchange.note_buffered(splitter.incomplete_bytes)
             if not events:
@@ -171,6 +186,12 @@
             self._start(head)
         self._exchange.finish()
 
+    def _count_events(self, events: bytes) -> None:
+        """Counts whole events toward the tokens that the server holds."""
+        if self._brought is not None and events:
+            memory = self._shared.choice.memory
+            memory.note_events(self._brought, eventstream.count_events(events))
+
     def _check_stream_end(
         self, head: upstream.ResponseHead, splitter: eventstream.EventSplitter
     ) -> None:
--- a/src/lycheegauge/internal/protocol/controlcalls.py
+++ b/src/lycheegauge/internal/protocol/controlcalls.py
@@ -96,6 +96,8 @@
         server_leaving: In an answer, whether its server leaves: ``1``.
         token_counts: The tokens of a generation's prompt, and the most of its answer.
         length_hint: The caller's estimate of the answer's tokens.
+        server_load: In an answer, the running and the waiting requests of its server
+            and its slots: ``RUNNING,WAITING,SLOTS``.
     """
 
     request_id: str
@@ -111,6 +113,7 @@
     token_counts: str = ""
     length_hint: str = ""
     retry_after: str = "Retry-After"
+    server_load: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -23,6 +23,7 @@
     server_leaving="Lycheegauge-Server-Leaving",
     token_counts="Lycheegauge-Token-Counts",
     length_hint="Lycheegauge-Length-Hint",
+    server_load="Lycheegauge-Server-Load",
 )
 
 AUTHORIZATION_SCHEME = "Bearer "
--- a/src/lycheegauge/internal/protocol/work.py
+++ b/src/lycheegauge/internal/protocol/work.py
@@ -46,6 +46,8 @@
     NO_ROUTE_TABLE = "no_route_table"
     BACKEND_SERVERS_FULL = "backend_servers_full"
     MEMORY_FULL = "memory_full"
+    REQUEST_TOO_LARGE = "request_too_large"
+    SERVER_MEMORY_FULL = "server_memory_full"
 
 
 class RetryReason(enum.StrEnum):
