Leave overloaded entry hosts out of the addresses for callers

With a wave in one zone its entry hosts got as many new callers as the others: answers of the directory listed all hosts alike. entryload.py now leaves out hosts with over 1.5 times the mean of the open requests and over 8, a third of all hosts at most and drawn anew for each answer; three remain. Entry hosts decide by load news (server_choice.directory_by_load), the log's leader by pulls (directory_by_load of a log host); both are off by default. A host whose load is not known is not left out.

--- a/src/lycheegauge/internal/coordination/servercandidates.py
+++ b/src/lycheegauge/internal/coordination/servercandidates.py
@@ -38,6 +38,23 @@
     from_servers: int = 0
 
 
+class _RequestEstimate:
+    """What a request brings to any server of its service."""
+
+    def __init__(
+        self, model: requestwork.WorkModel, size: requestwork.ExpectedSize
+    ) -> None:
+        self._tokens = size.tokens
+        self._memory_tokens = model.profile.memory_tokens
+        self.can_hold = not self._memory_tokens or size.tokens <= self._memory_tokens
+        self.work_s = model.estimate_work(size)
+        self.usual_s = model.estimate_usual_work()
+
+    def fits(self, held: float) -> bool:
+        """Tells whether the request fits beside the tokens that a server holds."""
+        return enginememory.has_room(held, self._tokens, self._memory_tokens)
+
+
 class ServerCandidates:
     """Joins a host's views of the servers.
 
@@ -88,11 +105,21 @@
         fraction = self._share.get_fraction(now)
         interval = self._share.get_interval(now)
         connections_max = self._limit_connections(declared, fraction)
+        servers = [
+            server
+            for server in self._view.list_usable(now)
+            if server.service == declared.name
+        ]
+        model = requestwork.make_model(declared)
+        estimate = None
+        if model is not None and size is not None and self.weighs_work(len(servers)):
+            estimate = _RequestEstimate(model, size)
+        news_age_s = self._choice.news.get_oldest_age_s(now)
+        listing_age_s = now - self._view.refreshed_at
         candidates = []
-        for server in self._view.list_usable(now):
-            if server.service != declared.name:
-                continue
+        for server in servers:
             key = server.incarnation
+            held = self._choice.estimate_tokens(server, now) if estimate else 0.0
             is_cold = self.is_cold(server, declared, now)
             candidates.append(
                 serverselection.Candidate(
@@ -115,15 +142,18 @@
                     has_failed=self._choice.has_failed(server.name, now),
                     is_in_zone=server.availability_zone
                     == self._preferences.availability_zone,
-                    counts_age_s=self._choice.get_counts_age_s(server.name, now),
+                    can_hold=estimate is None or estimate.can_hold,
+                    has_room=estimate is None or estimate.fits(held),
+                    work_s=self._weigh(server, estimate, now) if estimate else 0.0,
+                    held_tokens=held,
+                    counts_age_s=news_age_s
+                    if self._choice.has_recent_news
+                    else self._choice.get_pull_age_s(server.name, now),
                     stated_age_s=self._choice.get_stated_age_s(server.name, now),
-                    listing_age_s=now - self._view.refreshed_at,
+                    listing_age_s=listing_age_s,
                 )
             )
-        model = requestwork.make_model(declared)
-        if model is None or size is None or not self.weighs_work(len(candidates)):
-            return candidates
-        return [self._weigh(item, model, size, now) for item in candidates]
+        return candidates
 
     def weighs_work(self, servers: int) -> bool:
         """Tells whether the servers of a service are compared by their work."""
@@ -137,28 +167,15 @@
         return self._preferences.zone_tolerance
 
     def _weigh(
-        self,
-        candidate: serverselection.Candidate,
-        model: requestwork.WorkModel,
-        size: requestwork.ExpectedSize,
-        now: float,
-    ) -> serverselection.Candidate:
-        """Adds the memory and the expected work of a server."""
-        server = candidate.server
-        usual_s = model.estimate_usual_work()
-        open_s = self._choice.estimate_work(server, usual_s, now)
-        held = self._choice.estimate_tokens(server, now)
-        memory = model.profile.memory_tokens
-        # The request's own work counts, so that a slow server without requests is not
-        # taken for a free one.
-        work_s = open_s + model.estimate_work(size)
-        return dataclasses.replace(
-            candidate,
-            can_hold=not memory or size.tokens <= memory,
-            has_room=enginememory.has_room(held, size.tokens, memory),
-            work_s=work_s * (server.pace or 1.0),
-            held_tokens=held,
-        )
+        self, server: roster.ServerListing, estimate: "_RequestEstimate", now: float
+    ) -> float:
+        """Returns the expected work at a server with the request, in seconds.
+
+        The request's own work counts, so that a slow server without requests is not
+        taken for a free one.
+        """
+        open_s = self._choice.estimate_work(server, estimate.usual_s, now)
+        return (open_s + estimate.work_s) * (server.pace or 1.0)
 
     def is_cold(
         self,
--- a/src/lycheegauge/internal/coordination/serverchoice.py
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -137,10 +137,8 @@
         own_s = self.memory.get_own_remaining_s(server.incarnation)
         return own_s + others_s + more * OPEN_FRACTION * usual_s
 
-    def get_counts_age_s(self, server: str, now: float) -> float:
-        """Returns the age of other hosts' counts, in seconds; infinite for none."""
-        if self.has_recent_news:
-            return self.news.get_oldest_age_s(now)
+    def get_pull_age_s(self, server: str, now: float) -> float:
+        """Returns the age of the last pull's counts, in seconds; infinite for none."""
         load = self._loads.get(server)
         return now - load.pulled_at if load is not None else math.inf
 
--- a/src/lycheegauge/internal/daemons/controlgate.py
+++ b/src/lycheegauge/internal/daemons/controlgate.py
@@ -57,7 +57,9 @@
             case None:
                 return controlapi.Response(NOT_FOUND)
             case controlcalls.ListEntryHosts():
-                return self._entries.answer(self._host.list_hosts())
+                return self._entries.answer(
+                    self._host.list_hosts(), self._host.count_open_by_host()
+                )
             case controlcalls.CheckReadiness():
                 return controlapi.Response(OK if self._host.leader_address else 503)
         if self._host.task.is_leader:
--- a/src/lycheegauge/internal/daemons/discoveryresponder.py
+++ b/src/lycheegauge/internal/daemons/discoveryresponder.py
@@ -3,6 +3,7 @@
 import collections.abc
 import random
 
+from lycheegauge.internal.coordination import entryload
 from lycheegauge.internal.protocol import controlcalls, roster
 from lycheegauge.internal.transport import controlapi
 
@@ -27,12 +28,20 @@
         self._random = random.Random()
 
     def answer(
-        self, hosts: collections.abc.Iterable[roster.HostListing]
+        self,
+        hosts: collections.abc.Iterable[roster.HostListing],
+        open_requests: collections.abc.Mapping[str, int] | None = None,
     ) -> controlapi.Response:
-        """Answers with those of ``hosts`` that accept callers."""
-        addresses = [
-            host.caller_address for host in hosts if host.ready and not host.leaving
-        ]
+        """Answers with those of ``hosts`` that accept callers.
+
+        Args:
+            hosts: The entry hosts.
+            open_requests: Their open requests by name, to leave out overloaded hosts.
+        """
+        accepting = [host for host in hosts if host.ready and not host.leaving]
+        if open_requests:
+            accepting = entryload.list_preferred(accepting, open_requests, self._random)
+        addresses = [host.caller_address for host in accepting]
         if not addresses:
             reason = b"no entry host is known to be ready"
             return controlapi.Response(UNAVAILABLE, reason)
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -555,6 +555,16 @@
         late_after_s = progress.SILENCE_TARGET_MULTIPLE * route.target_first_s
         return silencewatch.SilenceWatch(connection, late_after_s, is_lost)
 
+    def count_open_by_host(self) -> dict[str, int]:
+        """Counts the open requests of the entry hosts; empty if they don't count."""
+        preferences = self.part.server_choice
+        if not preferences.directory_by_load:
+            return {}
+        if len(self.view.servers) < preferences.from_servers:
+            return {}
+        counts = self.choice.news.count_by_host()
+        return {**counts, self.part.name: self.choice.count_own_requests()}
+
     def _count_slots(self, server: roster.ServerListing) -> int:
         """Returns the slots that a server announced, or that its service declares."""
         declared = self.index.services.get(server.service) if self.index else None
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -230,7 +230,8 @@
             return controlapi.Response(NOT_FOUND)
         age_s = clock.read_clock() - self.view.refreshed_at
         is_fresh = age_s <= self.part.roster.lease_s
-        return self._discovery.answer(self.view.hosts.values() if is_fresh else ())
+        hosts = self.view.hosts.values() if is_fresh else ()
+        return self._discovery.answer(hosts, self.forwarder.count_open_by_host())
 
     async def _keep_pulling(self) -> None:
         retry_s = RETRY_INTERVAL_S
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -239,6 +239,12 @@
             return ()
         return tuple(self.view.hosts.values())
 
+    def count_open_by_host(self) -> dict[str, int]:
+        """Counts the entry hosts' open requests; empty if they don't count here."""
+        if not self.part.directory_by_load or not self.task.is_leader:
+            return {}
+        return self.get_registry().count_open_by_host()
+
     def list_log_hosts(self) -> tuple[str, ...]:
         """Lists the addresses of the log's members."""
         membership = self.task.membership
--- a/src/lycheegauge/settings.py
+++ b/src/lycheegauge/settings.py
@@ -247,7 +247,8 @@
     log hosts may be lost at the same time, with their disks. The log grows to the
     voters that this needs as soon as enough log hosts are present.
     ``announce_interval_s`` is the interval at which backend servers announce
-    themselves.
+    themselves. With ``directory_by_load`` the log's leader leaves out overloaded entry
+    hosts in its answers to callers.
     """
 
     name: Name
@@ -268,6 +269,7 @@
     limits: Limits = Limits(body_bytes=8_388_608)
     stop_timeout_s: float = pydantic.Field(default=2.0, gt=0, le=3600)
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    directory_by_load: bool = False
 
 
 class EngineAgentSettings(Model):
--- a/tests/properties/serverchoice.feature
+++ b/tests/properties/serverchoice.feature
@@ -25,3 +25,7 @@
   Scenario: The forwarding path counts and checks the sizes of requests
     Then a request that is larger than the memory of any server is refused with 413
     And while a stream is open its tokens are reported to other hosts
+
+  Scenario: Callers are sent to entry hosts with fewer requests
+    Then for any loads at most a third of the hosts are left out and three remain
+    And in one zone's wave overloaded hosts get fewer new callers than without loads (one zone's wave)
--- a/tests/steps/serverchoice.py
+++ b/tests/steps/serverchoice.py
@@ -1,5 +1,6 @@
 import asyncio
 import dataclasses
+import random
 import sys
 
 import behave
@@ -9,6 +10,7 @@
 
 from lycheegauge.internal.coordination import (
     enginememory,
+    entryload,
     loadnews,
     requestwork,
     rosterregistry,
@@ -291,3 +293,51 @@
         await host.close()
 
     asyncio.run(check())
+
+
+def list_hosts(count):
+    return [
+        roster.HostListing(f"h{n}", "1", "z", f"10.0.0.{n}:1", True, False)
+        for n in range(count)
+    ]
+
+
+@behave.then("for any loads at most a third of the hosts are left out and three remain")
+def check_left_out(context):
+    loads = strategies.lists(strategies.none() | strategies.integers(0, 100))
+
+    @hypothesis.given(loads, strategies.integers())
+    def check(drawn, seed):
+        hosts = list_hosts(len(drawn))
+        known = {f"h{n}": load for n, load in enumerate(drawn) if load is not None}
+        kept = entryload.list_preferred(hosts, known, random.Random(seed))
+        assert len(kept) >= min(len(hosts), entryload.REMAINING_MIN)
+        assert 3 * (len(hosts) - len(kept)) <= len(hosts)
+        mean = sum(known.values()) / len(known) if known else 0
+        for host in set(hosts) - set(kept):
+            assert known[host.name] > max(8, 1.5 * mean)
+
+    check()
+
+
+@behave.then(
+    "in one zone's wave overloaded hosts get fewer new callers than without loads "
+    "(one zone's wave)"
+)
+def check_directory(context):
+    """Callers of one zone's hosts have come; new callers ask for addresses."""
+    source, hosts = random.Random(3), list_hosts(12)
+    loads = {f"h{n}": 24 if n < 4 else 6 for n in range(12)}
+
+    def count_overloaded(known):
+        drawn = (
+            source.choice(entryload.list_preferred(hosts, known, source))
+            for _ in range(1000)
+        )
+        return sum(loads[host.name] == 24 for host in drawn)
+
+    assert count_overloaded({}) > 250
+    assert count_overloaded(loads) == 0
+    # With half of the hosts overloaded, a third is left out, another one each time.
+    loads = {f"h{n}": 24 if n < 5 else 2 for n in range(12)}
+    assert 0 < count_overloaded(loads) < 200
