Explain where an entry host would send a request now

Operators could see where a request went only after it had been sent, from its log lines. `lycheegauge explain-route` asks an entry host's metrics listener (GET /explain-route) for a given host, path, organisation and size. The decision code of the forwarding path answers: RouteExplainer runs ServerCandidates.select on copies of the limits, and restores the state of the random source, so that the next request gets the explained server. It prints route, version, service, whether the request starts, and for each server what counted for or against it with the age of the facts.

--- a/src/lycheegauge/command.py
+++ b/src/lycheegauge/command.py
@@ -18,7 +18,7 @@
 from returns import result
 
 from lycheegauge import errors, settings
-from lycheegauge.internal import forwardingcommands
+from lycheegauge.internal import explainroute, forwardingcommands
 from lycheegauge.internal.protocol import changes, intents, operations
 
 EXIT_DONE = 0
@@ -68,7 +68,7 @@
     _add_daemon_commands(commands)
     _add_operator_commands(commands)
     for command in commands.choices.values():
-        command.epilog = EXIT_CODES
+        command.epilog = command.epilog or EXIT_CODES
     return parser
 
 
@@ -140,6 +140,7 @@
 
 def _add_operator_commands(commands: typing.Any) -> None:
     forwardingcommands.add_log_commands(commands)
+    explainroute.add_command(commands, parse_address)
     check = commands.add_parser("check-settings", help="check settings files")
     check.add_argument(
         "files", type=pathlib.Path, nargs="+", metavar="FILE", help="settings file"
--- a/src/lycheegauge/internal/coordination/servercandidates.py
+++ b/src/lycheegauge/internal/coordination/servercandidates.py
@@ -1,7 +1,9 @@
 """Collects what an entry host knows of the servers of a service."""
 
 import collections.abc
+import copy
 import dataclasses
+import random
 
 from lycheegauge.internal.coordination import (
     coldratelimit,
@@ -155,6 +157,43 @@
             )
         return candidates
 
+    def select(
+        self,
+        declared: routetables.ServiceDeclaration,
+        tried: collections.abc.Container[str],
+        size: requestwork.ExpectedSize | None,
+        random_source: random.Random,
+        now: float,
+    ) -> serverselection.Selection:
+        """Decides where a request may be sent; it takes nothing.
+
+        Args:
+            declared: The service.
+            tried: Names of the servers that the request was sent to.
+            size: The expected size of the request; ``None`` if it is not known.
+            random_source: Draws the servers to compare.
+            now: Current time in seconds.
+        """
+        candidates = self.collect(declared, tried, now, size)
+        return serverselection.select_server(
+            candidates,
+            self._choice.has_recent_news,
+            random_source,
+            self.get_zone_tolerance(len(candidates)),
+        )
+
+    def copy(self) -> "ServerCandidates":
+        """Returns a copy that changes no state, since limits refill when asked."""
+        return ServerCandidates(
+            self._view,
+            self._choice,
+            copy.deepcopy(self._statements),
+            copy.deepcopy(self._cold_limiter),
+            self._share,
+            self._count_connections,
+            self._preferences,
+        )
+
     def weighs_work(self, servers: int) -> bool:
         """Tells whether the servers of a service are compared by their work."""
         preferences = self._preferences
--- a/src/lycheegauge/internal/coordination/serverchoice.py
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -58,6 +58,10 @@
     excluded_until: float = -math.inf
 
 
+_UNKNOWN = _ServerLoad()
+"""Stands for servers of which nothing is known, and is not changed."""
+
+
 class ServerChoice:
     """Tracks the loads and failures of the servers of all services.
 
@@ -80,7 +84,7 @@
 
     def estimate(self, server: roster.ServerListing, slots: int, now: float) -> float:
         """Estimates the busy fraction of a server's slots; above 1 requests queue."""
-        load = self._get_load(server.name)
+        load = self._loads.get(server.name, _UNKNOWN)
         others = self._estimate_others(server.name, load, now)
         return (load.own + others) / max(1, server.slots or slots)
 
@@ -107,7 +111,7 @@
 
     def estimate_tokens(self, server: roster.ServerListing, now: float) -> float:
         """Estimates the tokens that the requests of all hosts hold at a server."""
-        load = self._get_load(server.name)
+        load = self._loads.get(server.name, _UNKNOWN)
         others = float(self.news.count_tokens(server.name))
         if not self.has_recent_news:
             others = max(others, load.other_tokens * self._fade(load, now))
@@ -124,7 +128,7 @@
                 of which only the number is known.
             now: Current time in seconds.
         """
-        load = self._get_load(server.name)
+        load = self._loads.get(server.name, _UNKNOWN)
         known = float(self.news.count(server.name))
         others_s = self.news.get_work_s(server.name)
         if not self.has_recent_news:
--- a/src/lycheegauge/internal/coordination/serverselection.py
+++ b/src/lycheegauge/internal/coordination/serverselection.py
@@ -191,6 +191,11 @@
     return not candidate.has_failed
 
 
+def list_broken_rules(candidate: Candidate) -> list[str]:
+    """Lists the rules that a server breaks, by name."""
+    return [rule.name for rule in _rules if not rule.condition(candidate)]
+
+
 def select_server(
     candidates: collections.abc.Iterable[Candidate],
     has_recent_news: bool,
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -116,7 +116,7 @@
         self.share = hostshares.HostShareHolder(
             part.repeats.window_s + repeatbudget.TRANSIT_S
         )
-        self._candidates = servercandidates.ServerCandidates(
+        self.candidates = servercandidates.ServerCandidates(
             view,
             self.choice,
             self.statements,
@@ -349,7 +349,7 @@
         """Chooses a server for a request, or returns why there is none."""
         selection = self.select_server(service, tried, size)
         if selection.chosen is None:
-            return self._refuse_selection(selection, size)
+            return self.refuse_selection(selection, size)
         server = selection.chosen.server
         if selection.chosen.is_cold:
             self.cold_limiter.take(server.name)
@@ -364,28 +364,32 @@
     ) -> serverselection.Selection:
         """Decides where a request may be sent; changes nothing."""
         assert self.index is not None
-        candidates = self._candidates.collect(
-            self.index.services[service], tried, clock.read_clock(), size
-        )
-        return serverselection.select_server(
-            candidates,
-            self.choice.has_recent_news,
+        return self.candidates.select(
+            self.index.services[service],
+            tried,
+            size,
             self.random_source,
-            self._candidates.get_zone_tolerance(len(candidates)),
+            clock.read_clock(),
         )
 
     def expect_size(
         self, service: str, headers: collections.abc.Mapping[str, str]
     ) -> requestwork.ExpectedSize | None:
         """Estimates a request's size; ``None`` if servers are not compared by work."""
-        model = self._make_work_model(service)
-        if model is None:
+        if not self.part.server_choice.weigh_work:
             return None
         names = self.dialect.headers
         stated = self.dialect.parse_request_size(
             headers.get(names.token_counts, ""), headers.get(names.length_hint, "")
         )
-        return model.expect_size(stated)
+        return self.expect_stated_size(service, stated)
+
+    def expect_stated_size(
+        self, service: str, stated: controlcalls.RequestSize | None
+    ) -> requestwork.ExpectedSize | None:
+        """Estimates the size of a request from the one that its caller states."""
+        model = self._make_work_model(service)
+        return model.expect_size(stated) if model is not None else None
 
     def _make_work_model(self, service: str) -> requestwork.WorkModel | None:
         """Makes the model of a service's engines; ``None`` if it is not used."""
@@ -400,7 +404,7 @@
             return -1
         return self.pool.count_open(incarnation)
 
-    def _refuse_selection(
+    def refuse_selection(
         self,
         selection: serverselection.Selection,
         size: requestwork.ExpectedSize | None,
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -18,6 +18,7 @@
     reloading,
     requestintake,
     rosterclient,
+    routeexplainer,
 )
 from lycheegauge.internal.protocol import controlcalls, roster
 from lycheegauge.internal.transport import clock, controlapi, ingress, peers, web
@@ -75,8 +76,12 @@
             self._directory = web.Listener(
                 part.directory_address, application, part.limits
             )
+        explainer = routeexplainer.RouteExplainer(self.forwarder)
         self._metrics_listener = metricslistener.MetricsListener(
-            part.metrics_address, self.metrics, part.limits
+            part.metrics_address,
+            self.metrics,
+            part.limits,
+            {routeexplainer.PATH: explainer.answer},
         )
         self._load_sharing = loadsharing.LoadSharing(
             part.name,
--- a/src/lycheegauge/internal/daemons/metricslistener.py
+++ b/src/lycheegauge/internal/daemons/metricslistener.py
@@ -1,6 +1,7 @@
 """Serves a process's metrics on a separate address."""
 
 import asyncio
+import collections.abc
 
 from lycheegauge import metrics, settings
 from lycheegauge.internal.transport import controlapi, web
@@ -9,32 +10,40 @@
 NOT_FOUND = 404
 
 
+Page = collections.abc.Callable[[str], controlapi.Response]
+
+
 class MetricsListener:
-    """Serves ``/metrics``.
+    """Serves ``/metrics``, and other documents of its process.
 
     Args:
         address: The address to listen on; ``None`` serves no metrics.
         counters: The metrics to export.
         limits: Limits of the listener.
+        pages: Answers to GET requests by path; each is called with the query.
     """
 
     def __init__(
-        self, address: str | None, counters: metrics.Metrics, limits: settings.Limits
+        self,
+        address: str | None,
+        counters: metrics.Metrics,
+        limits: settings.Limits,
+        pages: collections.abc.Mapping[str, Page] | None = None,
     ) -> None:
+        self._pages = pages or {}
         self._metrics = counters
         self._listener: web.Listener | None = None
         if address is not None:
             application = controlapi.make_application(self._answer, limits)
             self._listener = web.Listener(address, application, limits)
 
-    async def start(self) -> None:
-        """Starts listening.
+    async def start(self) -> str:
+        """Starts listening; returns the address.
 
         Raises:
             OSError: The address can't be bound.
         """
-        if self._listener is not None:
-            await self._listener.start()
+        return await self._listener.start() if self._listener is not None else ""
 
     async def close(self) -> None:
         """Stops listening."""
@@ -42,7 +51,11 @@
             await self._listener.close()
 
     async def _answer(self, method: str, target: str, _: bytes) -> controlapi.Response:
-        if method != "GET" or target.partition("?")[0] != "/metrics":
+        parts = target.partition("?")
+        path, query = parts[0], parts[2]
+        if method == "GET" and path in self._pages:
+            return self._pages[path](query)
+        if method != "GET" or path != "/metrics":
             return controlapi.Response(NOT_FOUND)
         # Loading the library on the event loop would pause streams for longer than
         # they may pause.
