Report how servers are chosen in logs and metrics

Whether the preference for the own zone holds, and whether memory or slow ranks decide, could be seen only by adding up the lines of single requests, which are rate-limited. Every two seconds an entry host now logs `servers chosen` with the choices in its own and in other zones, at slow ranks, and the servers left out by rule; lycheegauge_choices{zone} counts the same, and lycheegauge_memory_filled is the estimate of the fullest server.

--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -12,6 +12,7 @@
 
 from lycheegauge import errors, metrics, settings
 from lycheegauge.internal.coordination import (
+    choicecounts,
     coldratelimit,
     crashdetector,
     crashes,
@@ -136,6 +137,11 @@
             part, view, self.choice, self.share, counters, self.random_source
         )
         self.outcomes = requestoutcomes.RequestOutcomes()
+        self._choice_counts = choicecounts.ChoiceCounts()
+        preferences = part.server_choice
+        self._counts_choices = (
+            preferences.weigh_work or preferences.zone_tolerance is not None
+        )
         self._outcomes_logged_at = clock.read_clock()
         self.stopping = False
         self.refuses_requests = False
@@ -259,6 +265,9 @@
                 since_s=round(now - self._outcomes_logged_at, 2),
                 counts=counts,
             )
+        chosen = self._choice_counts.pop()
+        if chosen:
+            loguru.logger.info("servers chosen", **chosen)
         self._outcomes_logged_at = now
 
     def _apply_table(self, document: roster.RouteDocument) -> None:
@@ -348,6 +357,10 @@
     ) -> roster.ServerListing | forwardrules.GivenUp:
         """Chooses a server for a request, or returns why there is none."""
         selection = self.select_server(service, tried, size)
+        if self._counts_choices:
+            zone = self._choice_counts.note(selection)
+            if zone:
+                self.metrics.count_choice(zone)
         if selection.chosen is None:
             return self.refuse_selection(selection, size)
         server = selection.chosen.server
@@ -559,6 +572,16 @@
         late_after_s = progress.SILENCE_TARGET_MULTIPLE * route.target_first_s
         return silencewatch.SilenceWatch(connection, late_after_s, is_lost)
 
+    def get_most_filled(self, now: float) -> float:
+        """Returns the filled fraction of the fullest server's memory; 0 if unknown."""
+        filled = [0.0]
+        for server in self.view.list_usable(now):
+            model = self._make_work_model(server.service)
+            if model is not None and model.profile.memory_tokens:
+                held = self.choice.estimate_tokens(server, now)
+                filled.append(held / model.profile.memory_tokens)
+        return max(filled)
+
     def count_open_by_host(self) -> dict[str, int]:
         """Counts the open requests of the entry hosts; empty if they don't count."""
         preferences = self.part.server_choice
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -127,6 +127,11 @@
             lambda: self.forwarder.share.get_fraction(clock.read_clock()),
         )
 
+        self.metrics.register_gauge(
+            "lycheegauge_memory_filled",
+            "Filled fraction of the fullest backend server's memory, as estimated here",
+            lambda: self.forwarder.get_most_filled(clock.read_clock()),
+        )
         self.metrics.register_gauge(
             "lycheegauge_leaving_backend_servers",
             "Backend servers whose answers said that they leave",
--- a/src/lycheegauge/internal/telemetry.py
+++ b/src/lycheegauge/internal/telemetry.py
@@ -13,6 +13,7 @@
     "answers": ("service", "Whole answers by service"),
     "ended_answers": ("waited_for", "Answers ended to free memory"),
     "admission_refusals": ("cause", "Requests that stream admission refused by cause"),
+    "choices": ("zone", "Servers chosen for requests, by whether in the host's zone"),
     "engine_orders": ("outcome", "Orders to engines by how they were answered"),
 }
 """Label name and description of each counter."""
--- a/src/lycheegauge/metrics.py
+++ b/src/lycheegauge/metrics.py
@@ -59,6 +59,10 @@
         """Counts one order to an engine by its outcome."""
         self._count("engine_orders", outcome)
 
+    def count_choice(self, zone: str) -> None:
+        """Counts one choice of a server by its zone: the host's own or another."""
+        self._count("choices", zone)
+
     def record_first_token(self, seconds: float) -> None:
         """Records the time from a request's arrival to its first token."""
         self._record("first_token", seconds)
--- a/tests/steps/serverchoice.py
+++ b/tests/steps/serverchoice.py
@@ -288,6 +288,11 @@
         choice = host.forwarder.choice
         assert reported == [(roster.OpenRequests("server-0", 1, 580, 80),)]
         assert choice.list_own_requests() == ()
+        assert host.forwarder._choice_counts.pop() == {
+            "own_zone": 1, "other_zone": 0, "slow": 0, "left_out": {},
+        }  # fmt: skip
+        assert b'zone="own"} 1' in host._counters.export()
+        assert host.forwarder.count_open_by_host() == {}
         listing = host.forwarder.view.servers["server-0"]
         assert choice.estimate(listing, 8, choice._loads["server-0"].stated_at) == 3 / 8
         await host.close()
