Raise the count of a server's tokens by its engine's own report

Requests whose caller has left may still hold memory at a server, and no host counts them. Engines report the memory that can't be reclaimed (kvUsed of kvTotal): the coordinator of the expert maps now reads it, reports servers that are more than half full with its pulls (RosterPull.memories), and the leader passes them on with their age to hosts if any host counts tokens (RosterReply.memories). A report counts for 1.5 s after the engine made it, for the incarnation that made it, and only raises the count.

--- a/src/lycheegauge/internal/coordination/enginememory.py
+++ b/src/lycheegauge/internal/coordination/enginememory.py
@@ -4,10 +4,11 @@
 server holds nothing. Those of other hosts are known from their reports.
 """
 
+import collections.abc
 import dataclasses
-import math
 
 from lycheegauge.internal.coordination import requestwork
+from lycheegauge.internal.protocol import roster
 
 FILL_MAX = 0.9
 """Fraction of a server's memory that hosts fill. Reports of other hosts are some tenths
@@ -18,6 +19,11 @@
 several times within it while their group is coordinated."""
 
 
+REPORTED_FROM = 0.5
+"""Fraction of its memory from which an engine's report is passed on. Below it, hosts
+would have to miss two fifths of a memory in their counts for a request not to fit."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Held:
     """What this host's requests hold at one incarnation of a server."""
@@ -35,6 +41,48 @@
     reported_at: float
 
 
+def list_filled(
+    servers: collections.abc.Iterable[roster.ServerListing],
+    used: collections.abc.Mapping[str, float],
+) -> tuple[roster.ServerMemory, ...]:
+    """Lists the servers whose memory is mostly in use.
+
+    Args:
+        servers: The servers.
+        used: The fraction that the engines have just reported, by server.
+    """
+    return tuple(
+        roster.ServerMemory(server.name, server.born_ms, used[server.name])
+        for server in servers
+        if used.get(server.name, 0.0) >= REPORTED_FROM
+    )
+
+
+class ReportedMemories:
+    """What engines report of their memory, on its way to the entry hosts."""
+
+    def __init__(self) -> None:
+        self._reports: dict[str, tuple[roster.ServerMemory, float]] = {}
+
+    def record(
+        self, memories: collections.abc.Iterable[roster.ServerMemory], now: float
+    ) -> None:
+        """Records reports and removes those that are old."""
+        for item in memories:
+            self._reports[item.server] = (item, now - item.age_ms / 1000)
+        for server, (_, reported_at) in list(self._reports.items()):
+            if now - reported_at > REPORT_LIFETIME_S:
+                del self._reports[server]
+
+    def list_recent(self, now: float) -> tuple[roster.ServerMemory, ...]:
+        """Lists the reports that still count."""
+        return tuple(
+            dataclasses.replace(item, age_ms=round(1000 * (now - reported_at)))
+            for item, reported_at in self._reports.values()
+            if now - reported_at <= REPORT_LIFETIME_S
+        )
+
+
 class EngineMemory:
     """Sums the requests of this host by server."""
 
@@ -95,11 +143,6 @@
             return counted
         return max(counted, reported.tokens)
 
-    def get_engine_count_age_s(self, incarnation: str, now: float) -> float:
-        """Returns the age of the engine's report, in seconds; infinite for none."""
-        reported = self._engine_counts.get(incarnation)
-        return now - reported.reported_at if reported is not None else math.inf
-
     def remove_old_counts(self, now: float) -> None:
         """Removes reports of engines that do not count any more."""
         for incarnation, reported in list(self._engine_counts.items()):
--- a/src/lycheegauge/internal/coordination/rosterregistry.py
+++ b/src/lycheegauge/internal/coordination/rosterregistry.py
@@ -12,7 +12,7 @@
 import statistics
 import typing
 
-from lycheegauge.internal.coordination import streamcapacity
+from lycheegauge.internal.coordination import enginememory, streamcapacity
 from lycheegauge.internal.protocol import roster
 
 MAX_REMOVALS = 1024
@@ -77,6 +77,10 @@
 class RosterRegistry:
     """Records announcements and pulls, and lists changes.
 
+    Attributes:
+        source: As given.
+        memories: What engines report of their memory.
+
     Args:
         source: Identifies this registry; cursors of other registries are not valid.
         lifetimes: How long entries are kept without an announcement or pull.
@@ -91,6 +95,7 @@
         self._hosts: dict[str, _Entry[roster.HostListing]] = {}
         self._removals: list[tuple[int, str, bool]] = []
         self._open_requests: dict[str, tuple[roster.OpenRequests, ...]] = {}
+        self.memories = enginememory.ReportedMemories()
         self._open_totals: collections.Counter[str] = collections.Counter()
         self._open_tokens: collections.Counter[str] = collections.Counter()
         self._open_work_ms: collections.Counter[str] = collections.Counter()
@@ -262,6 +267,10 @@
                 )
         return tuple(elsewhere)
 
+    def list_memories(self, now: float) -> tuple[roster.ServerMemory, ...]:
+        """Lists what engines report of their memory, if entry hosts count tokens."""
+        return self.memories.list_recent(now) if self._open_tokens else ()
+
     def _forget_work(self, server: str) -> None:
         """Forgets the tokens and the work at a server that has restarted.
 
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -572,6 +572,22 @@
         late_after_s = progress.SILENCE_TARGET_MULTIPLE * route.target_first_s
         return silencewatch.SilenceWatch(connection, late_after_s, is_lost)
 
+    def note_memories(self, memories: tuple[roster.ServerMemory, ...]) -> None:
+        """Records what engines report of their memory."""
+        now = clock.read_clock()
+        self.choice.memory.remove_old_counts(now)
+        for item in memories:
+            server = self.view.servers.get(item.server)
+            model = self._make_work_model(server.service) if server else None
+            if server is None or model is None:
+                continue
+            if server.born_ms == item.born_ms:
+                tokens = int(item.used * model.profile.memory_tokens)
+                reported_at = now - item.age_ms / 1000
+                self.choice.memory.note_engine_count(
+                    server.incarnation, tokens, reported_at
+                )
+
     def get_most_filled(self, now: float) -> float:
         """Returns the filled fraction of the fullest server's memory; 0 if unknown."""
         filled = [0.0]
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -289,6 +289,7 @@
             self.forwarder.share.apply_share(reply.share, now)
             self._log_share()
         self.forwarder.apply_changes(changed)
+        self.forwarder.note_memories(reply.memories)
         if reply.proof is not None:
             others = [name for name in self.view.hosts if name != self.part.name]
             self.forwarder.choice.update_hosts(others, now)
--- a/src/lycheegauge/internal/daemons/mapcoordination.py
+++ b/src/lycheegauge/internal/daemons/mapcoordination.py
@@ -7,6 +7,7 @@
 
 import loguru
 
+from lycheegauge.internal.coordination import enginememory
 from lycheegauge.internal.coordination.groups import (
     copytiming,
     demand,
@@ -94,10 +95,12 @@
     Attributes:
         wait_s: Time until the next poll is due, in seconds.
         silent: Names of the servers that could not be reached.
+        memories: The servers that have just reported that their memory is mostly used.
     """
 
     wait_s: float
     silent: frozenset[str]
+    memories: tuple[roster.ServerMemory, ...] = ()
 
 
 class MapCoordination:
@@ -190,7 +193,9 @@
         if 2 * len(silent) > len(addresses):
             # More likely this host is the one that is partitioned.
             silent = frozenset()
-        return PollResult(min(waits), silent)
+        used = {name: item.report.memory_used for name, item in observed.items()}
+        memories = enginememory.list_filled(servers, used)
+        return PollResult(min(waits), silent, memories)
 
     def _make_questions(
         self, addresses: dict[str, str]
--- a/src/lycheegauge/internal/daemons/mapkeeping.py
+++ b/src/lycheegauge/internal/daemons/mapkeeping.py
@@ -131,6 +131,7 @@
             for polled in parts:
                 wait_s = min(wait_s, polled.wait_s)
                 silent |= polled.silent
+                self._host.set_server_memories(polled.memories)
         self._host.set_slow_servers(tuple(paces))
         self._host.set_silent_servers(tuple(sorted(silent)))
         return wait_s
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -12,6 +12,7 @@
 
 from lycheegauge import errors, metrics, settings
 from lycheegauge.internal.coordination import (
+    enginememory,
     mapappointments,
     members,
     rosterregistry,
@@ -118,6 +119,7 @@
         self.silent_servers: tuple[str, ...] = ()
         self.slow_servers: tuple[roster.ServerPace, ...] = ()
         self.metrics: metrics.Metrics | None = None
+        self._memories = enginememory.ReportedMemories()
         self.view = rosterview.RosterView(part.roster.lease_s)
         self._client = rosterclient.RosterClient(pool, self._seeds, self.address)
         self._tasks: list[asyncio.Task[None]] = []
@@ -328,6 +330,7 @@
             return None
         registry.update_silent(request.silent_servers)
         registry.update_paces(request.paces)
+        registry.memories.record(request.memories, now)
         return roster.MapAppointment(
             self._appointments.number, self.list_longest_gaps(now)
         )
@@ -383,6 +386,13 @@
         if self.metrics is not None:
             self.metrics.record_map_switch(phase, seconds)
 
+    def set_server_memories(self, memories: tuple[roster.ServerMemory, ...]) -> None:
+        """Reports the servers whose memory is mostly used, by their engines."""
+        now = clock.read_clock()
+        self._memories.record(memories, now)
+        if self.task.is_leader:
+            self.get_registry().memories.record(memories, now)
+
     async def _record_crashes(self, request: roster.RosterPull) -> bool:
         """Commits a host's crash reports; returns whether all are committed."""
         now = clock.read_clock()
@@ -484,6 +494,7 @@
             pull_interval_s=self.get_pull_interval(),
             part_list=part_list,
             passes=self._registry.list_median_passes(clock.read_clock()),
+            memories=self._registry.list_memories(clock.read_clock()),
         )
 
     def get_pull_interval(self) -> float:
@@ -582,6 +593,7 @@
             log_host_incarnation=self._incarnation,
             silent_servers=self.silent_servers,
             paces=self.slow_servers,
+            memories=self._memories.list_recent(started_at),
         )
         reply = await self._client.pull_from(leader, message)
         self.view.apply_reply(pull, reply, clock.read_clock())
--- a/src/lycheegauge/internal/protocol/enginedialects.py
+++ b/src/lycheegauge/internal/protocol/enginedialects.py
@@ -91,6 +91,7 @@
     armed_version: bounds.OptionalIdentifier = NONE
     armed_step: bounds.OptionalIdentifier = NONE
     held_step: bounds.OptionalIdentifier = NONE
+    memory_used: bounds.Factor = 0.0
 
 
 @register_dialect("native")
--- a/src/lycheegauge/internal/protocol/maporders.py
+++ b/src/lycheegauge/internal/protocol/maporders.py
@@ -47,6 +47,7 @@
         counts: How often each expert was chosen since the engine started, layer by
             layer.
         experts: The experts that this rank holds, by layer.
+        memory_used: The fraction of its memory that can't be reclaimed; 0 if unknown.
     """
 
     server: str
@@ -65,6 +66,7 @@
     held_step: int
     counts: tuple[int, ...] = ()
     experts: tuple[RankExperts, ...] = ()
+    memory_used: float = 0.0
 
 
 class MapOrderKind(enum.StrEnum):
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -145,6 +145,16 @@
     pace: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerMemory:
+    """The fraction of its memory that an engine reported to be in use."""
+
+    server: str
+    born_ms: int
+    used: float
+    age_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadNews:
     """All open requests of a host; ``number`` increases with each such message."""
@@ -206,7 +216,7 @@
     the limits of all hosts. ``departures`` are servers whose answers said that they
     leave; they are resent like crashes. ``passes`` and ``outcomes`` are what an entry
     host measured lately, ``paces`` those of slow ranks that the coordinator of the
-    expert maps knows.
+    expert maps knows, ``memories`` those of ranks whose memory is mostly in use.
     """
 
     host: HostListing | None
@@ -230,6 +240,7 @@
     passes: tuple[ServicePass, ...] = ()
     outcomes: tuple[ServerOutcomes, ...] = ()
     paces: tuple[ServerPace, ...] = ()
+    memories: tuple[ServerMemory, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,6 +289,7 @@
     part_list: freshness.CrashingPartList | None = None
     passes: tuple[ServicePass, ...] = ()
     suspect_servers: tuple[SuspectServer, ...] = ()
+    memories: tuple[ServerMemory, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/steps/serverchoice.py
+++ b/tests/steps/serverchoice.py
@@ -18,6 +18,7 @@
     serverstatements,
 )
 from lycheegauge.internal.protocol import roster
+from lycheegauge.internal.transport import clock
 
 SEEDS = range(3)
 PAUSE_TARGET_S = 0.12
@@ -210,6 +211,16 @@
     choice.memory.note_engine_count(SERVER.incarnation, 25_000, 0.6)
     late = 0.7 + enginememory.REPORT_LIFETIME_S
     assert choice.estimate_tokens(SERVER, late) == 2_000
+    # On its way over the log's leader a report keeps its age.
+    registry = rosterregistry.RosterRegistry(
+        "s", rosterregistry.EntryLifetimes(3.0, 2.0)
+    )
+    filled = enginememory.list_filled([SERVER, SERVER], {"a": 0.8})
+    registry.memories.record((dataclasses.replace(filled[0], age_ms=500),), 10.0)
+    assert registry.list_memories(10.2) == ()
+    registry.record_open_requests("h1", (roster.OpenRequests("a", 1, 900),))
+    assert registry.list_memories(10.2) == (roster.ServerMemory("a", 1, 0.8, 700),)
+    assert registry.list_memories(11.1) == ()
 
 
 @behave.then("a load that a server stated counts for a second")
@@ -286,6 +297,10 @@
         received = await gatewayhost.call(host.address, "/x", fields)
         assert received.status == 200
         choice = host.forwarder.choice
+        for born_ms, tokens in ((7, 0), (1, 1500)):
+            memory = roster.ServerMemory("server-0", born_ms, 0.75)
+            host.forwarder.note_memories((memory,))
+            assert host.forwarder.get_most_filled(clock.read_clock()) == tokens / 2000
         assert reported == [(roster.OpenRequests("server-0", 1, 580, 80),)]
         assert choice.list_own_requests() == ()
         assert host.forwarder._choice_counts.pop() == {
