Decide by the findings of all hosts which servers are out

Each host learned only from its own failures that a server fails requests: with 44 hosts and 72 servers a host meets a server once in 22 s, so its backoff of 0.5 to 4 s has ended before it returns, and 5xx answers did not count at all.

The new field ServerOutcomes.probed tells the leader that a host has readmitted a server: from its answers alone the leader can't know whether they are older than the list. Selection gets two preferences: a server due for a probe, and those not out.

--- a/src/lycheegauge/internal/coordination/servercandidates.py
+++ b/src/lycheegauge/internal/coordination/servercandidates.py
@@ -12,6 +12,7 @@
     requestwork,
     rosterview,
     serverchoice,
+    serverevidence,
     serverselection,
     serverstatements,
 )
@@ -76,6 +77,7 @@
         count_connections: Returns, for a server's incarnation, how many connections
             this host has open, or -1 if one of them is idle.
         preferences: How servers are compared.
+        evidence: The servers that are out because they fail requests.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         share: hostshares.HostShareHolder,
         count_connections: collections.abc.Callable[[str], int],
         preferences: Preferences,
+        evidence: serverevidence.ServerEvidence,
     ) -> None:
         self._view = view
         self._choice = choice
@@ -95,6 +98,7 @@
         self._share = share
         self._count_connections = count_connections
         self._preferences = preferences
+        self._evidence = evidence
 
     def collect(
         self,
@@ -102,6 +106,7 @@
         tried: collections.abc.Container[str],
         now: float,
         size: requestwork.ExpectedSize | None = None,
+        may_probe: bool = False,
     ) -> list[serverselection.Candidate]:
         """Lists the servers of a service that the routing state allows.
 
@@ -110,6 +115,7 @@
             tried: Names of the servers that the request was sent to.
             now: Current time in seconds.
             size: The expected size of the request; ``None`` if it is not known.
+            may_probe: Whether the request may probe a server that is out.
         """
         fraction = self._share.get_fraction(now)
         interval = self._share.get_interval(now)
@@ -126,8 +132,10 @@
         news_age_s = self._choice.news.get_oldest_age_s(now)
         listing_age_s = now - self._view.refreshed_at
         candidates = []
+        out = self._evidence.list_out(servers, now)
         for server in servers:
             key = server.incarnation
+            is_out = bool(out) and serverevidence.get_key(server) in out
             held = self._choice.estimate_tokens(server, now) if estimate else 0.0
             is_cold = self.is_cold(server, declared, now)
             candidates.append(
@@ -160,6 +168,13 @@
                     else self._choice.get_pull_age_s(server.name, now),
                     stated_age_s=self._choice.get_stated_age_s(server.name, now),
                     listing_age_s=listing_age_s,
+                    is_out=is_out,
+                    is_probe_due=is_out
+                    and may_probe
+                    and server.name not in tried
+                    and self._evidence.is_probe_due(
+                        serverevidence.get_key(server), now
+                    ),
                 )
             )
         return candidates
--- a/src/lycheegauge/internal/coordination/serverselection.py
+++ b/src/lycheegauge/internal/coordination/serverselection.py
@@ -58,6 +58,8 @@
         counts_age_s: Age of other hosts' counts, in seconds; infinite for none.
         stated_age_s: Age of the load that it stated, in seconds; infinite for none.
         listing_age_s: Age of the roster, in seconds.
+        is_out: Whether it is out because of evidence.
+        is_probe_due: Whether it is out and this request may probe it.
     """
 
     server: roster.ServerListing
@@ -80,6 +82,8 @@
     counts_age_s: float = math.inf
     stated_age_s: float = math.inf
     listing_age_s: float = math.inf
+    is_out: bool = False
+    is_probe_due: bool = False
 
 
 Condition = collections.abc.Callable[[Candidate], bool]
@@ -186,6 +190,16 @@
     return candidate.allows_cold
 
 
+@register_rule("is due for a probe")
+def _is_due_for_probe(candidate: Candidate) -> bool:
+    return candidate.is_probe_due
+
+
+@register_rule("is not out because of evidence")
+def _is_not_out(candidate: Candidate) -> bool:
+    return not candidate.is_out
+
+
 @register_rule("has not failed recently")
 def _has_not_failed(candidate: Candidate) -> bool:
     return not candidate.has_failed
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -116,18 +116,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerOutcomes:
-    """What one host found at an incarnation of a server; ``age_ms`` of the latest."""
+    """What one host found at an incarnation of a server.
+
+    Attributes:
+        answered: Requests answered, in halves: outcomes count less after a time.
+        failed: Requests that failed, in halves.
+        age_ms: Age of the latest failure, or of the latest answer without any.
+        probed: Consecutive probes answered, if they readmitted the server; their age
+            is then ``age_ms``.
+    """
 
     server: str
     born_ms: int
     answered: int
     failed: int
     age_ms: int
+    probed: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspectServer:
-    """A server that failed at several hosts; ``failed_hosts`` is their number."""
+    """A server that failed at several hosts; ``failed_hosts`` is their number.
+
+    ``answered`` and ``failed`` are sums in halves, as in ``ServerOutcomes``, and
+    ``age_ms`` is the age of the latest failure.
+    """
 
     server: str
     born_ms: int
