Report outcomes with pulls and leave out the servers that hosts suspect

The forwarder notes one outcome for each attempt: an answer when it was passed on to its end, a failure where the backoff is set and for a 5xx answer that is not a refusal. Pulls carry the outcomes, replies the suspects; a probe is the first attempt of a request that may be repeated. All of it is off by default.

--- a/src/lycheegauge/internal/coordination/servercandidates.py
+++ b/src/lycheegauge/internal/coordination/servercandidates.py
@@ -186,6 +186,7 @@
         size: requestwork.ExpectedSize | None,
         random_source: random.Random,
         now: float,
+        may_probe: bool = False,
     ) -> serverselection.Selection:
         """Decides where a request may be sent; it takes nothing.
 
@@ -195,8 +196,9 @@
             size: The expected size of the request; ``None`` if it is not known.
             random_source: Draws the servers to compare.
             now: Current time in seconds.
+            may_probe: Whether the request may probe a server that is out.
         """
-        candidates = self.collect(declared, tried, now, size)
+        candidates = self.collect(declared, tried, now, size, may_probe)
         return serverselection.select_server(
             candidates,
             self._has_fresh_news(len(candidates)),
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -238,7 +238,7 @@
         connect_failures = 0
         while True:
             chosen = self._shared.choose_server(
-                self._service, self._tried_servers, self._size
+                self._service, self._tried_servers, self._size, self._may_probe
             )
             if isinstance(chosen, forwardrules.GivenUp):
                 if self._may_have_run:
@@ -272,6 +272,13 @@
                 return given_up
             self._shared.metrics.count_retry(self._get_retry_reason(given_up))
 
+    @property
+    def _may_probe(self) -> bool:
+        """Whether a failed attempt would be repeated at another server."""
+        assert self._route is not None
+        repetition, attempts_max = self._route.repetition, self._route.attempts_max
+        return repetition.is_idempotent and not self._runs and attempts_max > 1
+
     def _find_attempt_refusal(
         self, server: roster.ServerListing
     ) -> forwardrules.GivenUp | None:
@@ -335,7 +342,7 @@
         brought = shared.note_sent(server, self._size)
         self._tried_servers.add(server.name)
         self._response.begin_attempt(self._service, server.name, self._parts, brought)
-        is_complete = False
+        is_complete = has_failed = False
         sent_at = self._sent_at = clock.read_clock()
         try:
             connection.holder = self._exchange.holder
@@ -345,6 +352,11 @@
             head = await self._read_head(server, connection)
             self._check_response(server, head, connection)
             verdict = self._classify(head)
+            if head.status >= forwardrules.SERVER_ERROR_MIN and (
+                verdict is not forwardrules.Verdict.NOT_RUN
+            ):
+                has_failed = True
+                shared.note_failure(server)
             if verdict is forwardrules.Verdict.NOT_RUN:
                 self._may_have_run = was_run
                 self._runs -= 1
@@ -363,6 +375,8 @@
                 return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED)
             await self._response.forward(self._route, head, connection)
             is_complete = True
+            if not has_failed:
+                shared.note_answer(server, sent_at)
             self._record.write_answered(self._route, head, self._runs)
             if head.status < REDIRECT_MIN:
                 self._response.note_settled(clock.read_clock())
@@ -486,6 +500,7 @@
 
     def _record_failure(self, server: roster.ServerListing, detail: str) -> None:
         out_s = self._shared.choice.note_failure(server.name, clock.read_clock())
+        self._shared.note_failure(server)
         self._record.write_failed(server, self._may_have_run, detail, out_s)
 
     # Endings.
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -28,6 +28,7 @@
     routeindex,
     servercandidates,
     serverchoice,
+    serverevidence,
     serverselection,
     serverstatements,
     waitforecast,
@@ -117,6 +118,9 @@
         self.share = hostshares.HostShareHolder(
             part.repeats.window_s + repeatbudget.TRANSIT_S
         )
+        self.evidence = serverevidence.ServerEvidence(
+            part.evidence.from_servers, self.share
+        )
         self.candidates = servercandidates.ServerCandidates(
             view,
             self.choice,
@@ -130,6 +134,7 @@
                 part.server_choice.weigh_work,
                 part.server_choice.from_servers,
             ),
+            self.evidence,
         )
         self.progress = progress.ServerProgress()
         self.crashdetector = crashdetector.CrashDetector()
@@ -200,6 +205,7 @@
             self.choice.remove_absent(self.view.servers)
             if self.part.server_choice.weigh_work:
                 self.choice.update_servers(self.view.servers.values())
+            self.evidence.update_servers(self.view.servers.values(), clock.read_clock())
             self._detect_crashes()
             self.sweep()
 
@@ -354,9 +360,10 @@
         service: str,
         tried: set[str],
         size: requestwork.ExpectedSize | None = None,
+        may_probe: bool = False,
     ) -> roster.ServerListing | forwardrules.GivenUp:
         """Chooses a server for a request, or returns why there is none."""
-        selection = self.select_server(service, tried, size)
+        selection = self.select_server(service, tried, size, may_probe)
         if self._counts_choices:
             zone = self._choice_counts.note(selection)
             if zone:
@@ -366,6 +373,8 @@
         server = selection.chosen.server
         if selection.chosen.is_cold:
             self.cold_limiter.take(server.name)
+        if selection.chosen.is_probe_due:
+            self.evidence.take_probe(server, clock.read_clock())
         self.statements.take(server.incarnation)
         return server
 
@@ -374,6 +383,7 @@
         service: str,
         tried: set[str],
         size: requestwork.ExpectedSize | None = None,
+        may_probe: bool = False,
     ) -> serverselection.Selection:
         """Decides where a request may be sent; changes nothing."""
         assert self.index is not None
@@ -383,6 +393,7 @@
             size,
             self.random_source,
             clock.read_clock(),
+            may_probe,
         )
 
     def expect_size(
@@ -516,6 +527,7 @@
         """
         self.choice.note_sent(server.name)
         self.statements.note_sent(server.incarnation)
+        self.evidence.note_sent(server, clock.read_clock())
         self.on_load_changed()
         model = self._make_work_model(server.service)
         if size is None or model is None:
@@ -534,12 +546,43 @@
         self.statements.note_ended(server.incarnation)
         if brought is not None:
             self.choice.memory.remove(brought)
+        self.evidence.note_ended(server)
         self.on_load_changed()
 
     def note_pass(self, service: str, gap_s: float, events: int) -> None:
         """Records a pause between writes of whole events, and the events after it."""
         self.admission.note_gap(service, gap_s, clock.read_clock(), events)
 
+    def note_failure(self, server: roster.ServerListing) -> None:
+        """Records as evidence that a server failed a request."""
+        if self.evidence.note_failure(server, clock.read_clock()):
+            loguru.logger.warning(
+                "a backend server is out: its last requests here failed",
+                server=server.name,
+                born_ms=server.born_ms,
+            )
+
+    def note_answer(self, server: roster.ServerListing, sent_at: float) -> None:
+        """Records as evidence that a server answered a request completely."""
+        if self.evidence.note_answer(server, sent_at, clock.read_clock()):
+            loguru.logger.info(
+                "a backend server is readmitted: it answered probes",
+                server=server.name,
+                born_ms=server.born_ms,
+            )
+
+    def apply_suspects(self, reply: roster.RosterReply) -> None:
+        """Applies the leader's list of servers that failed at several hosts."""
+        now = clock.read_clock()
+        suspects = reply.suspect_servers
+        for name in self.evidence.apply_suspects(reply.source, suspects, now):
+            loguru.logger.warning(
+                "a backend server is out: it failed at several hosts",
+                server=name,
+                suspects=len(suspects),
+                out=self.evidence.count_out(),
+            )
+
     def note_gap(self, service: str, gap_s: float) -> None:
         """Records a pause between two parts of a stream."""
         if gap_s > self._longest_gaps.get(service, 0.0):
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -160,6 +160,11 @@
                 "Accepted connections that are not read yet, as memory is full",
                 self._callers.count_unread,
             )
+        self.metrics.register_gauge(
+            "lycheegauge_suspected_backend_servers",
+            "Backend servers that fail requests by the evidence of all hosts",
+            self.forwarder.evidence.count_out,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -272,6 +277,7 @@
             demand=self.forwarder.share.make_demand(clock.read_clock()),
             departures=self.forwarder.statements.list_unreported(),
             passes=self.forwarder.admission.list_passes(clock.read_clock()),
+            outcomes=self.forwarder.evidence.list_outcomes(clock.read_clock()),
         )
         try:
             reply = await self._client.pull(message)
@@ -291,6 +297,7 @@
         self.forwarder.apply_changes(changed)
         self.forwarder.note_memories(reply.memories)
         if reply.proof is not None:
+            self.forwarder.apply_suspects(reply)
             others = [name for name in self.view.hosts if name != self.part.name]
             self.forwarder.choice.update_hosts(others, now)
             self.forwarder.choice.set_other_requests(
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -15,6 +15,7 @@
     enginememory,
     mapappointments,
     members,
+    outcomeregistry,
     rosterregistry,
     rosterview,
     sharegrants,
@@ -112,6 +113,7 @@
         self._registry = rosterregistry.RosterRegistry("", self._lifetimes)
         self._registry_term = 0
         self._shares = sharegrants.ShareGranter(part.roster.lease_s, 0.0)
+        self._outcomes = outcomeregistry.OutcomeRegistry()
         self._incarnation = clock.create_incarnation(members.format_incarnation)
         self._appointments = mapappointments.MapAppointments(0, self.address, 0.0)
         self._appointment: roster.MapAppointment | None = None
@@ -225,6 +227,7 @@
             self._shares = sharegrants.ShareGranter(
                 self.part.roster.lease_s, now, is_first=self.task.is_first_leader
             )
+            self._outcomes = outcomeregistry.OutcomeRegistry()
             loguru.logger.info(
                 "became the log's leader",
                 term=self.task.term,
@@ -283,6 +286,7 @@
             )
             self.get_registry().record_gaps(request.gaps, now)
             self.get_registry().record_passes(request.host.name, request.passes, now)
+            self._outcomes.record_outcomes(request.host.name, request.outcomes, now)
         if request.log_host:
             # Begins the appointments of a new term, if there is one.
             self.get_registry()
@@ -469,8 +473,12 @@
         if state.restrictions.revision <= request.restrictions_revision:
             restrictions = None
         elsewhere: tuple[roster.OpenRequests, ...] = ()
+        suspects: tuple[roster.SuspectServer, ...] = ()
         if request.host is not None:
             elsewhere = self._registry.list_open_elsewhere(request.host.name)
+            suspects = self._outcomes.list_suspects(
+                self._registry.list_servers, clock.read_clock()
+            )
         refused: freshness.Quarantine | None = self.quarantine.current
         if request.quarantine_version == self.quarantine.current.version:
             refused = None
@@ -495,6 +503,7 @@
             part_list=part_list,
             passes=self._registry.list_median_passes(clock.read_clock()),
             memories=self._registry.list_memories(clock.read_clock()),
+            suspect_servers=suspects,
         )
 
     def get_pull_interval(self) -> float:
--- /dev/null
+++ b/tests/steps/serverevidence.py
@@ -0,0 +1,289 @@
+import asyncio
+import dataclasses
+import itertools
+import time
+
+import behave
+from support import evidencefleet, gatewayhost
+
+from lycheegauge.internal.coordination import (
+    hostshares,
+    outcomeregistry,
+    serverevidence,
+)
+from lycheegauge.internal.protocol import roster
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+FAILED = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+
+
+def compare(make_fleet):
+    """Counts failed attempts without and with evidence."""
+    counts = []
+    for from_servers in (0, 1):
+        fleet = make_fleet(from_servers)
+        assert fleet.answered >= 0.98 * (fleet.requests - 50)
+        counts.append(len(fleet.failed))
+    return counts
+
+
+@behave.then(
+    "of 44 hosts and 72 servers, 8 of which fail 4 in 10 requests, fewer than half as"
+    " many attempts fail as with each host's own backoff"
+)
+def check_load(context):
+    def run(from_servers):
+        fleet = evidencefleet.Fleet(44, 72, from_servers, rate=2.0)
+        fleet.fails = dict.fromkeys(range(8), 0.4)
+        fleet.run(40.0)
+        assert fleet.probes_at_once <= 1
+        return fleet
+
+    alone, shared = compare(run)
+    print(f"figure: failed attempts {alone} by own backoff, {shared} by evidence")
+    assert shared < alone / 2, (alone, shared)
+
+
+@behave.given("9 hosts, 12 servers and 4 requests a second to each server")
+def make_fleet(context):
+    context.fleet = evidencefleet.Fleet(9, 12, rate=4.0)
+    context.fleet.run(4.0)
+    assert not any(map(context.fleet.list_out, context.fleet.hosts))
+
+
+@behave.when("the link of one host is broken for 10 seconds")
+def break_link(context):
+    context.fleet.hosts[0].has_broken_link = True
+    watch(context, 10.0)
+
+
+def watch(context, duration_s):
+    """Runs the fleet and records the most servers that each host had taken out."""
+    context.most = [0] * len(context.fleet.hosts)
+    for _ in range(int(duration_s / 0.1)):
+        context.fleet.run(0.1)
+        out = map(len, map(context.fleet.list_out, context.fleet.hosts))
+        context.most = list(map(max, context.most, out))
+
+
+@behave.then("no other host has taken a server out")
+def check_others(context):
+    assert not any(context.most[1:]), context.most
+
+
+@behave.then("the host itself has taken out at most 4 servers")
+def check_own(context):
+    assert 0 < context.most[0] <= 4, context.most
+
+
+@behave.when("a server fails {fraction:g} of its requests for {duration_s:g} seconds")
+@behave.when("it fails {fraction:g} of its requests for {duration_s:g} seconds")
+def fail(context, fraction, duration_s):
+    context.since = context.fleet.now
+    context.fleet.fails[0] = fraction
+    context.fleet.run(duration_s)
+
+
+@behave.then("all hosts have taken it out")
+def check_out(context):
+    assert all(0 in context.fleet.list_out(host) for host in context.fleet.hosts)
+
+
+@behave.then("it gets nothing but probes, one at a time, and at most {most:d} of them")
+def check_probes(context, most):
+    fleet = context.fleet
+    probes = fleet.count_sent(0, context.since, probes=True)
+    assert 0 < probes <= most, probes
+    assert fleet.probes_at_once == 1
+    # Those that were sent before the last pull of a relapse are no probes.
+    assert fleet.count_sent(0, context.since + 10.0, probes=False) == 0
+
+
+@behave.then("no host has taken it out")
+def check_in(context):
+    assert not any(map(context.fleet.list_out, context.fleet.hosts))
+
+
+@behave.then(
+    "an entry host sends few requests to a server that passes health checks and fails"
+    " requests"
+)
+def check_health(context):
+    class Server(gatewayhost.ScriptedServer):
+        def __init__(self, fails):
+            super().__init__(self.reply)
+            self.fails, self.arrivals = fails, []
+
+        def reply(self, fields, target):
+            if target != "/health":
+                self.arrivals.append(time.monotonic())
+            has_failed = self.fails and target != "/health"
+            return gatewayhost.Reply(FAILED if has_failed else OK)
+
+    async def run():
+        servers = [Server(True), Server(False), Server(False)]
+        host = gatewayhost.GatewayHost(servers, "safe", 2, evidence={"from_servers": 3})
+        await host.start()
+        try:
+            for _ in range(100):
+                assert (await gatewayhost.call(host.address)).status == 200
+                assert (await gatewayhost.call(servers[0].address, "/health")).status
+                await asyncio.sleep(0.02)
+            context.while_failing = len(servers[0].arrivals)
+            servers[0].fails = False
+            for _ in range(200):
+                assert (await gatewayhost.call(host.address)).status == 200
+                await asyncio.sleep(0.02)
+            context.later = len(servers[0].arrivals) - context.while_failing
+        finally:
+            await host.close()
+
+    asyncio.run(run())
+    assert 3 <= context.while_failing <= 5, context.while_failing
+
+
+@behave.then("it sends them again once the server answers requests")
+def check_sent_again(context):
+    assert context.later >= 10, context.later
+
+
+@behave.then(
+    "a server that is down for 2 of every 4 seconds fails fewer than half as many"
+    " attempts as with each host's own backoff"
+)
+def check_flapping(context):
+    def run(from_servers):
+        fleet = evidencefleet.Fleet(9, 12, from_servers, rate=4.0)
+        for _ in range(15):
+            for fleet.fails[0] in (1.0, 0.0):
+                fleet.run(2.0)
+        return fleet
+
+    alone, shared = compare(run)
+    print(f"figure: failed attempts {alone} by own backoff, {shared} by evidence")
+    assert shared < alone / 2, (alone, shared)
+
+
+@behave.when("the leader is lost for {duration_s:g} seconds")
+def lose_leader(context, duration_s):
+    context.fleet.has_leader = False
+    context.fleet.run(duration_s)
+
+
+@behave.then("only hosts with failures of their own have taken it out")
+def check_own_only(context):
+    fleet = context.fleet
+    for host in fleet.hosts:
+        own = sum(to == 0 and name == host.name for _, to, name, _ in fleet.failed)
+        assert own >= serverevidence.OWN_FAILURES or 0 not in fleet.list_out(host)
+
+
+@behave.when("a new leader is there for {duration_s:g} seconds")
+def replace_leader(context, duration_s):
+    context.fleet.replace_leader()
+    context.fleet.run(duration_s)
+
+
+@behave.when("all servers but one fail 0.6 of their requests for 10 seconds")
+def fail_most(context):
+    context.fleet.fails = dict.fromkeys(range(1, 12), 0.6)
+    watch(context, 10.0)
+
+
+@behave.then("no host has ever taken out more than {most:d} servers")
+def check_most(context, most):
+    assert max(context.most) == most, context.most
+
+
+class Leader:
+    """A leader that hosts report to with made-up outcomes."""
+
+    def __init__(self):
+        self.registry = outcomeregistry.OutcomeRegistry()
+        self.server = evidencefleet.make_listing(0)
+
+    def report(self, host, answered, failed, now, age_s=0.0):
+        outcomes = roster.ServerOutcomes(
+            self.server.name, self.server.born_ms, answered, failed, round(age_s * 1000)
+        )
+        self.registry.record_outcomes(host, [outcomes], now)
+
+    def list_suspects(self, now):
+        return self.registry.list_suspects(lambda: [self.server], now)
+
+
+def make_evidence(servers, from_servers=1):
+    share = hostshares.HostShareHolder(11.0)
+    evidence = serverevidence.ServerEvidence(from_servers, share)
+    evidence.update_servers(servers, 0.0)
+    return evidence
+
+
+@behave.then("a lost host's failures count for 4 seconds")
+def check_lost_host(context):
+    leader = Leader()
+    leader.report("lost", 0, 2, now=10.0)
+    for now, hosts in ((13.9, 2), (14.1, 0)):
+        leader.report("live", 9, 2, now)
+        counts = [item.failed_hosts for item in leader.list_suspects(now)]
+        assert counts == [hosts] * bool(hosts), (now, counts)
+
+
+@behave.then("a restarted server starts without evidence")
+def check_restart(context):
+    fleet = evidencefleet.Fleet(9, 12, rate=4.0)
+    fleet.fails[0] = 1.0
+    fleet.run(6.0)
+    fleet.fails.clear()
+    fleet.restart(0)
+    assert not any(map(fleet.list_out, fleet.hosts))
+    fleet.run(4.0)
+    assert not any(map(fleet.list_out, fleet.hosts))
+
+
+@behave.then(
+    "a server that failed twice and answered ten others is listed for one pull only"
+)
+def check_cleared(context):
+    leader = Leader()
+    others = [make_evidence([leader.server] * 3) for _ in range(5)]
+    for evidence, number in itertools.product(others, range(2)):
+        evidence.note_answer(leader.server, 0.0, 9.5 + number / 10)
+    leader.report("a", 0, 2, now=10.0)
+    leader.report("b", 0, 2, now=10.0)
+    assert leader.list_suspects(10.0)[0].failed_hosts == 2
+    for number, evidence in enumerate(others):
+        evidence.apply_suspects("leader", leader.list_suspects(10.1), 10.1)
+        (outcomes,) = evidence.list_outcomes(10.4)
+        leader.registry.record_outcomes(f"other-{number}", [outcomes], 10.4)
+    (suspect,) = leader.list_suspects(10.4)
+    assert (suspect.answered, suspect.failed) == (20, 4)
+    fresh = make_evidence([leader.server] * 3)
+    assert fresh.apply_suspects("leader", [suspect], 10.4) == ()
+
+
+@behave.then("a host that was answered within a second does not follow the list")
+def check_contradicted(context):
+    server = evidencefleet.make_listing(0)
+    suspect = roster.SuspectServer(server.name, server.born_ms, 3, 0, 6, 0)
+    for answered_at, taken_out in ((9.5, ()), (8.5, (server.name,))):
+        evidence = make_evidence([server] * 3)
+        evidence.note_answer(server, 0.0, answered_at)
+        assert evidence.apply_suspects("leader", [suspect], 10.0) == taken_out
+    single = dataclasses.replace(suspect, failed_hosts=1)
+    assert make_evidence([server]).apply_suspects("leader", [single], 10.0) == ()
+
+
+@behave.then(
+    "a host without the setting, or with fewer servers than it says, reports nothing"
+)
+def check_off(context):
+    server = evidencefleet.make_listing(0)
+    suspect = roster.SuspectServer(server.name, server.born_ms, 3, 0, 6, 0)
+    for from_servers in (0, 4):
+        evidence = make_evidence([server] * 3, from_servers)
+        for _ in range(5):
+            evidence.note_failure(server, 10.0)
+        assert evidence.list_outcomes(10.0) == ()
+        assert evidence.apply_suspects("leader", [suspect], 10.0) == ()
+        assert not evidence.list_out([server] * 3, 10.0)
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -83,7 +83,10 @@
 
 
 class GatewayHost:
-    """A forwarder behind a caller address, with a fixed roster and route table."""
+    """A forwarder behind a caller address, with a fixed roster and route table.
+
+    ``sections`` are settings that differ from the defaults.
+    """
 
     def __init__(
         self, servers, repetition, attempts_max, engine=None, slots=8, **sections
