Decide which late requests are sent a second time

A safe request at a slow server waits for it while other servers are free: the silence watch aborts an attempt only after 2.5 x its target, and only if the server is silent.

Connections can return parts of a body once more, so that a first event can be read before it is passed on.

--- a/src/lycheegauge/internal/coordination/progress.py
+++ b/src/lycheegauge/internal/coordination/progress.py
@@ -1,5 +1,7 @@
 """Distinguishes stalled servers from slow ones by comparing with their peers."""
 
+import math
+
 RECENT_OUTPUT_S = 0.3
 """A service is making progress if another of its servers sent output within this many
 seconds; it covers several passes of a lock-step group."""
@@ -38,6 +40,15 @@
             if other != server
         )
 
+    def get_silence_s(self, service: str, server: str, now: float) -> float:
+        """Returns the time since another server of a service sent a part, in seconds.
+
+        It is infinite if none of them did.
+        """
+        last_output_at = self._last_output_at.get(service, {})
+        others = (at for other, at in last_output_at.items() if other != server)
+        return now - max(others, default=-math.inf)
+
     def drop_silent(self, before: float) -> None:
         """Drops servers that have sent nothing since ``before``."""
         for last_output_at in self._last_output_at.values():
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 import enum
 import re
@@ -106,6 +107,7 @@
         self._transport: asyncio.Transport | None = None
         self._events: collections.deque[typing.Any] = collections.deque()
         self._unread_bytes = 0
+        self._read_ahead: collections.deque[bytes] = collections.deque()
         self._informational_responses = 0
         self._waiter: asyncio.Future[None] | None = None
         self._failure = ""
@@ -217,6 +219,8 @@
         Raises:
             errors.BackendServerFailedError: The response is incomplete or malformed.
         """
+        if self._read_ahead:
+            return self._read_ahead.popleft()
         event = await self._next_event()
         if isinstance(event, h11.EndOfMessage):
             self._finish_response()
@@ -227,6 +231,13 @@
             parts.append(bytes(self._pop_event().data))
         return b"".join(parts)
 
+    def unread(self, parts: collections.abc.Iterable[bytes]) -> None:
+        """Makes ``read_chunk`` return parts that it has returned before.
+
+        Empty bytes among them are the end of the body, as ``read_chunk`` returns it.
+        """
+        self._read_ahead.extend(parts)
+
     def close_with_error(self, reason: str) -> None:
         """Closes the connection; pending reads fail with the reason."""
         self._fail(reason)
