Send late safe requests and unstarted streams to a second server

The first whole answer, or first event of a stream, wins before any byte is passed on; the other connection is aborted, never released, and its request counts as open at its server for 0.15 s more. A first attempt that fails, is refused or answers 5xx leaves the answer to its copy. Off by default; a reload changes hedging.extra_fraction. New log events, and a counter of copies by outcome. The test that each way to write an event is used now looks at the module that writes two of them as well: it is as strict as before.

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -16,6 +16,7 @@
 )
 from lycheegauge.internal.daemons import (
     forwarder,
+    hedgedattempt,
     requestrecord,
     responseforwarding,
     streamadmissions,
@@ -76,6 +77,7 @@
         self._runs = 0
         self._refusals = 0
         self._may_have_run = False
+        self._has_copy_run = False
         self._parts: tuple[str, ...] = ()
         self._sent_at = math.inf
         self._record = requestrecord.RequestRecord(
@@ -85,6 +87,7 @@
             shared, exchange, self._record
         )
         exchange.call_on_ending(self._note_ending)
+        self._hedging = hedgedattempt.RequestHedging(shared, exchange, self._record)
 
     async def run(self) -> None:
         """Forwards the request until it is answered or given up."""
@@ -349,7 +352,10 @@
             connection.send(self._make_head(server), self._exchange.body)
             was_run, self._may_have_run = self._may_have_run, True
             self._runs += 1
-            head = await self._read_head(server, connection)
+            answer = await self._read_answer(server, connection)
+            server, connection, head = answer.server, answer.connection, answer.head
+            assert head is not None
+            was_run = was_run or self._has_copy_run
             self._check_response(server, head, connection)
             verdict = self._classify(head)
             if head.status >= forwardrules.SERVER_ERROR_MIN and (
@@ -378,6 +384,7 @@
             if not has_failed:
                 shared.note_answer(server, sent_at)
             self._record.write_answered(self._route, head, self._runs)
+            self._hedging.note_answer(self._route, sent_at)
             if head.status < REDIRECT_MIN:
                 self._response.note_settled(clock.read_clock())
             shared.crashdetector.record_answered(self._digest_request())
@@ -405,6 +412,44 @@
             else:
                 connection.abort()
 
+    async def _read_answer(
+        self, server: roster.ServerListing, connection: upstream.UpstreamConnection
+    ) -> hedgedattempt.Attempt:
+        """Waits for an answer; if it is late, a copy at another server may answer."""
+        assert self._route is not None
+        first = hedgedattempt.Attempt(server, connection)
+        late_after_s = None
+        if not self._exchange.is_started:
+            late_after_s = self._hedging.get_late_after(self._route)
+        if late_after_s is None:
+            first.head = await self._read_head(server, connection)
+            return first
+        winner = await self._hedging.read(
+            first,
+            late_after_s,
+            hedgedattempt.Calls(
+                self._route,
+                self._service,
+                self._parts,
+                self._tried_servers,
+                self._digest_request,
+                self._can_repeat_elsewhere,
+                self._make_head,
+                self._note_copy_sent,
+                self._read_head,
+                self._check_response,
+                self._classify,
+                self._record_failure,
+            ),
+        )
+        if winner is not first:
+            self._response.begin_attempt(self._service, winner.server.name, self._parts)
+        return winner
+
+    def _note_copy_sent(self) -> None:
+        self._runs += 1
+        self._has_copy_run = True
+
     async def _read_head(
         self, server: roster.ServerListing, connection: upstream.UpstreamConnection
     ) -> upstream.ResponseHead:
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -17,6 +17,7 @@
     crashdetector,
     crashes,
     forwardrules,
+    hedging,
     hostshares,
     memorylimits,
     partdetector,
@@ -118,6 +119,7 @@
         self.share = hostshares.HostShareHolder(
             part.repeats.window_s + repeatbudget.TRANSIT_S
         )
+        self.hedging = hedging.Hedging(part.hedging.extra_fraction, self.share)
         self.evidence = serverevidence.ServerEvidence(
             part.evidence.from_servers, self.share
         )
@@ -255,6 +257,7 @@
     def sweep(self) -> None:
         """Closes idle connections that are old or whose server is gone."""
         self.progress.drop_silent(clock.read_clock() - PROGRESS_RETENTION_S)
+        self.hedging.times.drop_old(clock.read_clock())
         present = {server.incarnation for server in self.view.servers.values()}
         self.pool.close_stale(present)
         self.statements.remove_absent(present, clock.read_clock())
@@ -313,6 +316,7 @@
         now = clock.read_clock()
         self.share.note_request(now)
         self.get_retry_budget(service).note_request(now)
+        self.hedging.note_request(service, now)
 
     def get_forecast(self, service: str) -> waitforecast.WaitForecast:
         """Returns the forecast of a service's waiting times."""
@@ -422,6 +426,15 @@
             return None
         return requestwork.make_model(declared)
 
+    def list_candidates(
+        self, service: str, tried: set[str]
+    ) -> list[serverselection.Candidate]:
+        """Lists what this host knows of the servers of a service."""
+        assert self.index is not None
+        return self.candidates.collect(
+            self.index.services[service], tried, clock.read_clock()
+        )
+
     def _count_connections(self, incarnation: str) -> int:
         """Counts this host's connections to a server; -1 if one of them is idle."""
         if self.pool.has_idle(incarnation):
@@ -585,6 +598,8 @@
 
     def note_gap(self, service: str, gap_s: float) -> None:
         """Records a pause between two parts of a stream."""
+        if gap_s > 0.0 and self.hedging.is_active:
+            self.hedging.passes.note_gap(service, gap_s, clock.read_clock())
         if gap_s > self._longest_gaps.get(service, 0.0):
             self._longest_gaps[service] = gap_s
 
@@ -656,6 +671,16 @@
         declared = self.index.services.get(server.service) if self.index else None
         return server.slots or (declared.slots if declared else 0)
 
+    def get_slots(self, service: str) -> int:
+        """Returns the slots that a service declares for each of its servers."""
+        declared = self.index.services.get(service) if self.index else None
+        return declared.slots if declared else 0
+
+    def is_lock_step(self, service: str) -> bool:
+        """Tells whether the servers of a service run each pass together."""
+        declared = self.index.services.get(service) if self.index else None
+        return declared is not None and declared.experts is not None
+
     def is_highly_loaded(self, now: float) -> bool:
         """Tells whether most slots of some service are busy."""
         if self.index is None:
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -213,7 +213,11 @@
         self.metrics.close()
 
     def reload(self, part: settings.GatewaySettings) -> None:
-        """Applies new seed hosts; all other changes need a restart."""
+        """Applies new seed hosts and a new limit on hedging.
+
+        All other changes need a restart.
+        """
+        self.forwarder.hedging.extra_fraction = part.hedging.extra_fraction
         seeds = rosterclient.list_seed_peers(part.roster, part.peer_address)
         self._client.set_seeds(seeds)
 
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -66,6 +66,20 @@
         """Logs that the retry budget allowed another attempt, and what is left."""
         events.write_event(events.RetryAllowed(self._request_id, service, budget))
 
+    def write_hedged(
+        self, server: str, late_server: str, sent_at: float, budget: str
+    ) -> None:
+        """Logs that a copy is sent to another server."""
+        late_ms = round((clock.read_clock() - sent_at) * 1000)
+        events.write_event(
+            events.RequestHedged(self._request_id, server, late_server, late_ms, budget)
+        )
+
+    def write_copy_answered(self, server: str, late_server: str) -> None:
+        """Logs that the answer to the copy is passed on."""
+        self._server = server
+        events.write_event(events.CopyAnswered(self._request_id, server, late_server))
+
     def write_failed(
         self,
         server: roster.ServerListing,
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -66,6 +66,36 @@
     budget: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHedged(Event):
+    """A copy was sent to another server, since the answer is late.
+
+    Attributes:
+        server: The server that the copy was sent to.
+        late_server: The server whose answer is late.
+        late_ms: Time since the request was sent there.
+        budget: What is left of this host's part of the retry budget.
+    """
+
+    server: str
+    late_server: str
+    late_ms: int
+    budget: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyAnswered(Event):
+    """The copy's answer came first, and the late attempt was cancelled.
+
+    Attributes:
+        server: The server that answered.
+        late_server: The server whose answer is late.
+    """
+
+    server: str
+    late_server: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptFailed(Event):
     """A server did not answer the request completely.
@@ -178,7 +208,13 @@
     ended_before: int
 
 
-ROUTINE_EVENTS = (RequestSent, RequestAnswered, RetryAllowed)
+ROUTINE_EVENTS = (
+    RequestSent,
+    RequestAnswered,
+    RetryAllowed,
+    RequestHedged,
+    CopyAnswered,
+)
 """Events of requests that succeed; the log drops these first when it is overloaded."""
 
 
--- a/src/lycheegauge/internal/telemetry.py
+++ b/src/lycheegauge/internal/telemetry.py
@@ -14,6 +14,7 @@
     "ended_answers": ("waited_for", "Answers ended to free memory"),
     "admission_refusals": ("cause", "Requests that stream admission refused by cause"),
     "choices": ("zone", "Servers chosen for requests, by whether in the host's zone"),
+    "hedges": ("outcome", "Second copies of late requests by outcome"),
     "engine_orders": ("outcome", "Orders to engines by how they were answered"),
 }
 """Label name and description of each counter."""
--- a/src/lycheegauge/metrics.py
+++ b/src/lycheegauge/metrics.py
@@ -55,6 +55,10 @@
         """Counts one answer that was ended to free memory, by whom it waited for."""
         self._count("ended_answers", side)
 
+    def count_hedge(self, outcome: str) -> None:
+        """Counts one second copy of a late request by its outcome."""
+        self._count("hedges", outcome)
+
     def count_engine_order(self, outcome: str) -> None:
         """Counts one order to an engine by its outcome."""
         self._count("engine_orders", outcome)
--- /dev/null
+++ b/tests/steps/hedging.py
@@ -0,0 +1,371 @@
+import asyncio
+import dataclasses
+import math
+import random
+import time
+
+import behave
+from support import hedging as support
+
+from lycheegauge.internal.coordination import (
+    hedging,
+    hostshares,
+    serverselection,
+)
+from lycheegauge.internal.protocol import roster
+
+SLOW_S = 0.6
+FAST_S = 0.02
+REFUSAL = b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+FAILURE = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+
+
+def run_with(servers, repetition, work, **changes):
+    async def run():
+        host = support.make_host(servers, repetition, **changes)
+        await host.start()
+        host.settle()
+        try:
+            return await work(host)
+        finally:
+            await host.close()
+
+    return asyncio.run(run())
+
+
+@behave.given("three servers, of which one {fault}, for {kind} requests")
+def plan_servers(context, fault, kind):
+    def make_servers():
+        began_at = time.monotonic()
+        delays = {
+            "answers slowly": lambda: SLOW_S,
+            "is slow in turn": lambda: (
+                SLOW_S if (time.monotonic() - began_at) % 1.0 > 0.5 else FAST_S
+            ),
+        }
+        is_stream = "stream" in kind
+        return [
+            support.DelayedServer("a", is_stream, delays[fault]),
+            support.DelayedServer("b", is_stream, lambda: FAST_S),
+            support.DelayedServer("c", is_stream, lambda: FAST_S),
+        ]
+
+    context.make_servers, context.kind = make_servers, kind
+
+
+def send_all(context, count, fraction):
+    servers = context.make_servers()
+
+    async def work(host):
+        # Enough answers of the usual time to know what a late one is.
+        first_delay, servers[0].get_delay_s = servers[0].get_delay_s, lambda: FAST_S
+        await support.send(host, 100, "known", 0.005)
+        servers[0].get_delay_s = first_delay
+        return await support.send(host, count, "r", 0.02)
+
+    results = run_with(
+        servers, context.kind, work, fraction=fraction,
+        server_choice={"from_servers": 0},
+    )  # fmt: skip
+    return servers, results
+
+
+@behave.when("{count:d} requests arrive with and without hedging")
+def send_with_and_without(context, count):
+    context.servers, context.results = send_all(context, count, 0.1)
+    _, context.plain = send_all(context, count, 0.0)
+
+
+@behave.when("{count:d} requests arrive with hedging")
+def send_hedged(context, count):
+    context.servers, context.results = send_all(context, count, 0.1)
+
+
+@behave.then("the slowest of 100 requests takes less than half as long with hedging")
+def check_faster(context):
+    def find_slowest(results):
+        # The slowest hundredth may wait: the limit covers a tenth of the requests.
+        times = sorted(took_s for _, took_s in results)
+        return times[math.ceil(0.99 * len(times)) - 1]
+
+    hedged, plain = find_slowest(context.results), find_slowest(context.plain)
+    print(f"figure: slowest of 100 requests {hedged:.3f} s hedged, {plain:.3f} s not")
+    assert hedged < plain / 2, (hedged, plain)
+
+
+@behave.then("each caller gets the whole answer of exactly one server")
+def check_whole(context):
+    for received, _ in context.results:
+        assert (received.status, received.end) == (200, "framed"), received
+        names = support.read_names(received.body)
+        assert len(names) == support.EVENTS and len(set(names)) == 1, received.body
+
+
+def count_copies(servers, prefix="/r"):
+    runs = sum((server.runs for server in servers), start=type(servers[0].runs)())
+    return sum(count - 1 for target, count in runs.items() if target.startswith(prefix))
+
+
+@behave.then("at most a tenth of the requests are sent twice")
+def check_limit(context):
+    # The limit counts the requests before the measured ones, too.
+    copies = count_copies(context.servers)
+    assert 0 < copies <= (100 + len(context.results)) / 10, copies
+
+
+@behave.then("no request is sent twice")
+def check_once(context):
+    assert count_copies(context.servers) == 0
+
+
+@behave.given("two servers that answer {kind} requests at the same moment")
+def make_equal(context, kind):
+    context.kind = kind
+    context.moments = moments = []
+
+    class Server(support.DelayedServer):
+        async def _answer(self, reader, writer):
+            arrived_at = time.monotonic()
+            if not moments or arrived_at > moments[-1]:
+                moments.append(arrived_at + 0.1)
+            return await super()._answer(reader, writer)
+
+    def get_delay_s():
+        return max(0.0, moments[-1] - time.monotonic())
+
+    context.servers = [Server(name, "stream" in kind, get_delay_s) for name in "ab"]
+
+
+@behave.when("{count:d} requests are each sent to both of them")
+def send_to_both(context, count):
+    async def work(host):
+        support.make_late(host)
+        results = []
+        for number in range(count):
+            context.moments.clear()
+            results += await support.send(host, 1, f"r-{number}")
+        return results
+
+    context.results = run_with(
+        context.servers, context.kind, work, attempts_max=2, fraction=0.5
+    )
+    copies = count_copies(context.servers)
+    assert copies >= 0.9 * count, copies
+    winners = {support.read_names(received.body)[0] for received, _ in context.results}
+    assert winners == {"a", "b"}, "one of the servers is never first"
+
+
+@behave.then("no connection of a cancelled attempt is used again")
+def check_not_reused(context):
+    assert sum(server.reused_after_abort for server in context.servers) == 0
+
+
+@behave.then("the server of a cancelled attempt has an open request a moment longer")
+def check_counted(context):
+    slow = support.DelayedServer("a", False, lambda: 2.0)
+    fast = support.DelayedServer("b", False, lambda: FAST_S)
+
+    async def work(host):
+        support.make_late(host)
+        choice = host.forwarder.choice
+        # The first attempt goes to the slow server.
+        choice.note_sent("server-1")
+        (result,) = await support.send(host, 1, "r")
+        choice.note_ended("server-1")
+        counts = []
+        for _ in range(4):
+            counts.append({item.server for item in choice.list_own_requests()})
+            await asyncio.sleep(0.1)
+        assert slow.aborted == 1 and slow.open == 0
+        return result, counts
+
+    (received, took_s), counts = run_with([slow, fast], "safe", work, attempts_max=2)
+    assert support.read_names(received.body)[0] == "b" and took_s < 1.0
+    assert counts[0] == {"server-0"} and counts[-1] == set(), counts
+
+
+@behave.then("a stop of the host ends both attempts and closes the caller's connection")
+def check_stop(context):
+    servers = [support.DelayedServer(name, False, lambda: 3.0) for name in "ab"]
+
+    async def work(host):
+        support.make_late(host)
+        asked = asyncio.create_task(support.send(host, 1, "r"))
+        await asyncio.sleep(0.3)
+        assert [server.open for server in servers] == [1, 1]
+        await host.forwarder.close()
+        ((received, took_s),) = await asked
+        await asyncio.sleep(0.1)
+        assert [server.aborted for server in servers] == [1, 1]
+        assert received.status == 0 and took_s < 1.0, received
+
+    run_with(servers, "safe", work, attempts_max=2)
+
+
+@behave.then(
+    "a first attempt that {ends} after its copy was sent is answered by the copy"
+)
+def check_first_lost(context, ends):
+    first = support.DelayedServer("a", False, lambda: 0.15)
+    first.faults = [
+        {"is reset": None, "fails with 500": FAILURE, "is refused": REFUSAL}[ends]
+    ]
+    second = support.DelayedServer("b", False, lambda: 0.3)
+
+    async def work(host):
+        support.make_late(host)
+        host.forwarder.choice.note_sent("server-1")
+        return await support.send(host, 1, "r")
+
+    ((received, _),) = run_with([first, second], "safe", work, attempts_max=2)
+    assert set(support.read_names(received.body)) == {"b"}, received
+    assert (first.runs["/r-0"], second.runs["/r-0"]) == (1, 1)
+
+
+@behave.then("a stream that pauses after its first event is not sent twice")
+def check_begun(context):
+    servers = [support.DelayedServer(name, True, lambda: FAST_S, 0.2) for name in "ab"]
+
+    async def work(host):
+        support.make_late(host, threshold_s=0.2)
+        return await support.send(host, 1, "r")
+
+    context.results = run_with(servers, "resumable_stream", work, attempts_max=2)
+    check_whole(context)
+    assert context.results[0][1] > 0.6 and count_copies(servers) == 0
+
+
+LATE = hedging.LateRequest(True, False, True, False, False, False, 0.1, 0.05, 0.12)
+LISTING = roster.ServerListing("server", 1, 1, "s", "10.0.0.1:1", "zone-a", 4, 0)
+CANDIDATE = serverselection.Candidate(LISTING, 0.2)
+CHANGES = {
+    "its route allows no further attempt": {"has_attempt_left": False},
+    "it is suspected of a crash": {"is_suspect": True},
+    "requests wait at the host": {"is_waiting": True},
+    "its lock-step group is silent": {"is_group": True, "group_silent_s": 0.4},
+    "its lock-step group's passes are long": {"is_group": True, "pass_s": 0.13},
+}
+
+
+def end_retry_budget(host):
+    budget = host.forwarder.get_retry_budget("drafting")
+    while budget.spend(time.clock_gettime(time.CLOCK_BOOTTIME)):
+        pass
+
+
+def end_limit(host):
+    now = time.clock_gettime(time.CLOCK_BOOTTIME)
+    while host.forwarder.hedging.has_left("drafting", now):
+        host.forwarder.hedging.spend("drafting", now)
+
+
+def fill_slots(host):
+    for _ in range(12):
+        host.forwarder.choice.note_sent("server-0")
+        host.forwarder.choice.note_sent("server-1")
+
+
+def turn_off(host):
+    host.forwarder.hedging.extra_fraction = 0.0
+
+
+PREPARATIONS = {
+    "the retry budget is spent": end_retry_budget,
+    "the limit is spent": end_limit,
+    "over 0.7 of the slots are busy": fill_slots,
+    "hedging is turned off by a reload": turn_off,
+    "requests wait at the host": lambda host: setattr(
+        host.forwarder.hedging, "has_waiting", lambda service: True
+    ),
+}
+
+
+@behave.then("a late request is not sent twice when {condition}")
+def check_condition(context, condition):
+    if condition in CHANGES:
+        assert hedging.check_request(LATE) is None
+        changed = dataclasses.replace(LATE, **CHANGES[condition])
+        assert hedging.check_request(changed) is not None
+    prepare = PREPARATIONS.get(condition)
+    if prepare is None:
+        return
+    servers = [support.DelayedServer(name, False, lambda: 0.3) for name in "ab"]
+
+    async def work(host):
+        support.make_late(host)
+        prepare(host)
+        return await support.send(host, 1, "r")
+
+    ((received, _),) = run_with(servers, "safe", work, attempts_max=2)
+    assert received.status == 200 and count_copies(servers) == 0
+
+
+@behave.then(
+    "a copy goes to no server that is leaving, cold, limited, suspected or tried"
+)
+def check_eligible(context):
+    assert hedging.list_eligible([CANDIDATE], 4) == [CANDIDATE]
+    for change in (
+        {"is_leaving": True}, {"is_cold": True}, {"limit_interval_s": 0.5},
+        {"is_out": True}, {"has_failed": True}, {"is_tried": True},
+        {"may_send": False}, {"has_connection": False},
+        {"server": dataclasses.replace(LISTING, silent=True)},
+    ):  # fmt: skip
+        changed = dataclasses.replace(CANDIDATE, **change)
+        both = hedging.list_eligible([changed, CANDIDATE], 4)
+        assert both == [CANDIDATE], change
+        assert hedging.list_eligible([changed], 4) is hedging.Reason.NO_SERVER
+
+
+class CarelessLimit(hedging.HedgeLimit):
+    """Counts the requests of a host whichever part of its share it held."""
+
+    def has_left(self, fraction, now):
+        allowed = hedging.USED_FRACTION * fraction * len(self._requests)
+        return super().has_left(1e9, now) and len(self._copies) + 1 <= allowed
+
+
+def find_highest(limit_class, count):
+    highest = 0.0
+    for seed in range(count):
+        fleet = support.LimitedFleet(seed, limit_class)
+        fleet.run(80.0)
+        assert len(fleet.copies) > 100
+        highest = max(highest, fleet.find_highest())
+    return highest
+
+
+@behave.then(
+    "in {count:d} interleavings of restarts, joins and lost leases no window has more"
+    " copies than the limit"
+)
+def check_interleavings(context, count):
+    highest = find_highest(hedging.HedgeLimit, count)
+    print(f"figure: at most {highest:.4f} copies a request, limit 0.1")
+    assert highest <= support.LimitedFleet.FRACTION, highest
+
+
+@behave.then("a limit that counts every host's first requests is found to break it")
+def check_careless(context):
+    highest = find_highest(CarelessLimit, 20)
+    assert highest > support.LimitedFleet.FRACTION, highest
+
+
+@behave.then(
+    "an answer is late after the 95th percentile of at least 20 answers of 10 seconds"
+)
+def check_percentile(context):
+    source = random.Random(1)
+    times = hedging.AnswerTimes()
+    kind, other = ("route", 3), ("route", 5)
+    waited = [n / 100 for n in range(1, 101)]
+    source.shuffle(waited)
+    for number, waited_s in enumerate(waited):
+        times.note_answer(kind, waited_s, 10.0 + number / 100)
+    times.note_answer(other, 9.0, 10.0)
+    assert times.get_late_after(kind, 11.5) == 0.95
+    assert times.get_late_after(other, 11.5) is None
+    assert times.get_late_after(kind, 20.85) is None, "15 answers are not enough"
+    classes = [hedging.classify_size(size) for size in (0, 1, 3, 4, 15, 16, 63, 64)]
+    assert classes == [0, 1, 1, 2, 2, 3, 3, 4], classes
+    assert hostshares.HostShareHolder(11.0).get_fraction(0.0) == 0.0
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -18,6 +18,7 @@
 from lycheegauge.internal.coordination import requestoutcomes
 from lycheegauge.internal.daemons import (
     forwardedrequest,
+    hedgedattempt,
     lifecycle,
     requestrecord,
     responseforwarding,
@@ -108,7 +109,7 @@
 @behave.then("every way in which a forwarded request ends writes an event")
 def check_endings(context):
     source = inspect.getsource(requestrecord)
-    used = inspect.getsource(forwardedrequest)
+    used = inspect.getsource(forwardedrequest) + inspect.getsource(hedgedattempt)
     for event in list_events():
         assert f"events.{event.__name__}(" in source, f"{event.__name__} is not written"
     for name in vars(requestrecord.RequestRecord):
