Count a copy that its server refused as not run, and keep counts on cancellation

If the first server and the copy's both said that the request did not run, the caller got 502 without Retry-After, since the copy counted as a run. A refused copy is now taken back from the runs. If the caller left between the choice of the copy's answer and its use, the first attempt was ended twice and the copy never; run() now ends whichever attempt it does not return.

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -77,7 +77,7 @@
         self._runs = 0
         self._refusals = 0
         self._may_have_run = False
-        self._has_copy_run = False
+        self._copy_runs = 0
         self._parts: tuple[str, ...] = ()
         self._sent_at = math.inf
         self._record = requestrecord.RequestRecord(
@@ -355,7 +355,7 @@
             answer = await self._read_answer(server, connection)
             server, connection, head = answer.server, answer.connection, answer.head
             assert head is not None
-            was_run = was_run or self._has_copy_run
+            was_run = was_run or self._copy_runs > 0
             self._check_response(server, head, connection)
             verdict = self._classify(head)
             if head.status >= forwardrules.SERVER_ERROR_MIN and (
@@ -435,7 +435,7 @@
                 self._digest_request,
                 self._can_repeat_elsewhere,
                 self._make_head,
-                self._note_copy_sent,
+                self._count_copy,
                 self._read_head,
                 self._check_response,
                 self._classify,
@@ -446,9 +446,9 @@
             self._response.begin_attempt(self._service, winner.server.name, self._parts)
         return winner
 
-    def _note_copy_sent(self) -> None:
-        self._runs += 1
-        self._has_copy_run = True
+    def _count_copy(self, change: int) -> None:
+        self._runs += change
+        self._copy_runs += change
 
     async def _read_head(
         self, server: roster.ServerListing, connection: upstream.UpstreamConnection
--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -69,7 +69,7 @@
         digest: Returns its fingerprint.
         can_repeat: Tells whether its route allows another attempt.
         make_head: Makes the head of the request for a server.
-        note_copy_sent: Counts a copy as a run.
+        count_copy: Counts a copy as a run, or one less if its server refused it.
         read_head: Waits for the head of an answer.
         check_response: Checks that an answer belongs to the request.
         classify: Decides how to proceed with an answer.
@@ -83,7 +83,7 @@
     digest: collections.abc.Callable[[], str]
     can_repeat: collections.abc.Callable[[], bool]
     make_head: collections.abc.Callable[[roster.ServerListing], upstream.RequestHead]
-    note_copy_sent: collections.abc.Callable[[], None]
+    count_copy: collections.abc.Callable[[int], None]
     read_head: collections.abc.Callable[
         [roster.ServerListing, upstream.UpstreamConnection],
         collections.abc.Awaitable[upstream.ResponseHead],
@@ -202,10 +202,13 @@
                 good answer to a copy.
         """
         self._look_again_after(late_after_s)
+        # Whoever is told of a failure or cancelled ends the first attempt itself.
+        kept = self._first
         try:
-            return await self._read_answers()
+            kept = await self._read_answers()
         finally:
-            self._close()
+            self._close(kept)
+        return kept
 
     async def _read_answers(self) -> Attempt:
         first, failure = self._first, None
@@ -234,11 +237,13 @@
         head = await calls.read_head(attempt.server, attempt.connection)
         attempt.head = head
         calls.check_response(attempt.server, head, attempt.connection)
-        if calls.classify(head) is forwardrules.Verdict.PASS_ON:
+        verdict = calls.classify(head)
+        if verdict is forwardrules.Verdict.PASS_ON:
             await read_first_part(calls.route, head, attempt)
-        elif head.status >= forwardrules.SERVER_ERROR_MIN and attempt is self._copy:
-            if calls.classify(head) is forwardrules.Verdict.REPEAT:
-                self._shared.note_failure(attempt.server)
+        elif attempt is self._copy and verdict is forwardrules.Verdict.NOT_RUN:
+            calls.count_copy(-1)
+        elif attempt is self._copy:
+            self._shared.note_failure(attempt.server)
 
     # The copy.
 
@@ -332,7 +337,7 @@
         self._copy = copy
         shared.note_sent(copy.server)
         calls.tried.add(server)
-        calls.note_copy_sent()
+        calls.count_copy(1)
         copy.connection.send(calls.make_head(copy.server), self._exchange.body)
         return True
 
@@ -344,15 +349,15 @@
         calls.record_failure(attempt.server, detail)
         self._shared.record_broken_attempt(attempt.server, calls.digest(), calls.parts)
 
-    def _close(self) -> None:
-        """Ends the attempt that was not chosen."""
+    def _close(self, kept: Attempt) -> None:
+        """Ends the attempt that is not kept."""
         if self._timer is not None:
             self._timer.cancel()
         if self._task is not None:
             self._task.cancel()
         if self._copy is None:
             return
-        is_won = self._winner is self._copy
+        is_won = kept is self._copy
         self._shared.metrics.count_hedge("won" if is_won else "lost")
         loser = self._first if is_won else self._copy
         loser.connection.abort()
--- a/tests/failures/hedging.feature
+++ b/tests/failures/hedging.feature
@@ -30,6 +30,11 @@
   Scenario: A cancelled attempt counts as open until its server has ended it
     Then the server of a cancelled attempt has an open request a moment longer
 
+  # Guards against open requests that are never counted as ended, or ended twice.
+  Scenario: Callers that leave at any moment leave no open request behind
+    Then after 60 callers left while two servers answered no request counts as open
+    And both servers refusing a request and its copy is answered as not run
+
   # Guards against requests that go on at servers after their host has stopped.
   Scenario: A host that stops between the two sends cancels both
     Then a stop of the host ends both attempts and closes the caller's connection
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -1,10 +1,12 @@
 import asyncio
+import contextlib
 import dataclasses
 import math
 import random
 import time
 
 import behave
+from support import gatewayhost
 from support import hedging as support
 
 from lycheegauge.internal.coordination import (
@@ -184,6 +186,51 @@
     assert counts[0] == {"server-0"} and counts[-1] == set(), counts
 
 
+@behave.then(
+    "after {count:d} callers left while two servers answered no request counts as open"
+)
+def check_left(context, count):
+    source = random.Random(1)
+    servers = [support.DelayedServer(name, False, lambda: 0.1) for name in "ab"]
+
+    async def work(host):
+        support.make_late(host, threshold_s=0.01)
+        ended = []
+        note_ended = host.forwarder.note_ended
+        host.forwarder.note_ended = lambda server: (ended.append(1), note_ended(server))
+
+        async def leave(number):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(source.uniform(0.09, 0.13)):
+                    await gatewayhost.call(host.address, f"/r-{number}")
+
+        for number in range(count):
+            await leave(number)
+        await asyncio.sleep(0.3)
+        assert len(ended) == sum(sum(server.runs.values()) for server in servers)
+        assert host.forwarder.choice.list_own_requests() == ()
+
+    run_with(servers, "safe", work, attempts_max=2, fraction=0.5)
+    assert count_copies(servers) > count / 2
+
+
+@behave.then("both servers refusing a request and its copy is answered as not run")
+def check_refused(context):
+    servers = [support.DelayedServer("a", False, lambda: 0.3)]
+    servers.append(support.DelayedServer("b", False, lambda: 0.15))
+    for server in servers:
+        server.faults = [REFUSAL] * 10
+
+    async def work(host):
+        support.make_late(host)
+        host.forwarder.choice.note_sent("server-1")
+        return await support.send(host, 1, "r")
+
+    ((received, _),) = run_with(servers, "safe", work, attempts_max=2)
+    assert all(server.runs["/r-0"] for server in servers) and count_copies(servers)
+    assert received.status == 503, received
+
+
 @behave.then("a stop of the host ends both attempts and closes the caller's connection")
 def check_stop(context):
     servers = [support.DelayedServer(name, False, lambda: 3.0) for name in "ab"]
