Count a second copy of an answer as a failure of its server

A copy that arrives on an idle connection, or behind the answer, closed the connection and was counted nowhere. Connections note such data and the pool tells the forwarder, which records evidence; the backoff of today's policy is unchanged.

--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -138,6 +138,7 @@
             ),
             self.evidence,
         )
+        self.pool.on_extra_data = self._note_extra_data
         self.progress = progress.ServerProgress()
         self.crashdetector = crashdetector.CrashDetector()
         self.admission = streamadmissions.StreamAdmissions(
@@ -575,6 +576,12 @@
                 born_ms=server.born_ms,
             )
 
+    def _note_extra_data(self, incarnation: str) -> None:
+        """Counts a late copy of an answer as a failure of its server."""
+        for server in self.view.servers.values():
+            if server.incarnation == incarnation:
+                self.note_failure(server)
+
     def note_answer(self, server: roster.ServerListing, sent_at: float) -> None:
         """Records as evidence that a server answered a request completely."""
         if self.evidence.note_answer(server, sent_at, clock.read_clock()):
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -94,10 +94,13 @@
             the next answer.
         holder: Counts the bytes held for the current request; ``None`` if they are
             not counted.
+        has_extra_data: Whether the server sent more than it was asked for, such as a
+            second copy of an answer.
     """
 
     def __init__(self) -> None:
         self.holder: bytebudget.Holder | None = None
+        self.has_extra_data = False
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.request_count = 0
@@ -125,6 +128,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; closes the connection if no response is expected."""
         if not self._is_busy:
+            self.has_extra_data = True
             self._fail("the server sent data without a request")
             return
         self._codec.receive_data(data)
@@ -252,6 +256,7 @@
         """Prepares the connection for the next request, or closes it."""
         self._is_busy = False
         trailing, is_closed = self._codec.trailing_data
+        self.has_extra_data = bool(trailing)
         if (
             trailing
             or is_closed
@@ -360,6 +365,10 @@
 
     Args:
         make_connection: Creates the protocol of a new connection.
+
+    Attributes:
+        on_extra_data: Called with the key of a server that sent more than it was asked
+            for, once its connection is closed.
     """
 
     def __init__(
@@ -367,6 +376,7 @@
         make_connection: typing.Callable[[], UpstreamConnection] = UpstreamConnection,
     ) -> None:
         self._make_connection = make_connection
+        self.on_extra_data: typing.Callable[[str], None] = lambda key: None
         self._idle_connections: dict[str, list[UpstreamConnection]] = {}
         self._open_connections: dict[str, set[UpstreamConnection]] = {}
 
@@ -424,6 +434,8 @@
             open_connections.discard(connection)
             if not open_connections:
                 del self._open_connections[key]
+        if connection.has_extra_data:
+            self.on_extra_data(key)
 
     def release(self, key: str, connection: UpstreamConnection) -> None:
         """Returns a connection to the pool if it can be reused."""
--- a/tests/failures/serverevidence.feature
+++ b/tests/failures/serverevidence.feature
@@ -26,6 +26,23 @@
     Then an entry host sends few requests to a server that passes health checks and fails requests
     And it sends them again once the server answers requests
 
+  # Guards against failures that no host counts, and refusals that all count. A request
+  # tries three connections to a closed port.
+  Scenario Outline: A server that <answers> has failed <failed> requests
+    Then a request to a server that <answers> counts as <failed> failures
+
+    Examples:
+      | answers                    | failed |
+      | closes its port            | 3      |
+      | resets the connection      | 1      |
+      | answers 500                | 1      |
+      | sends malformed bytes      | 1      |
+      | sends its answer twice     | 1      |
+      | sends a second copy later  | 1      |
+      | refuses without running it | 0      |
+      | answers 404                | 0      |
+      | answers                    | 0      |
+
   # Guards against a server that is let in at once each time it comes up.
   Scenario: A server that goes down and up in turn is left alone for longer (flapping)
     Then a server that is down for 2 of every 4 seconds fails fewer than half as many attempts as with each host's own backoff
--- a/tests/steps/serverevidence.py
+++ b/tests/steps/serverevidence.py
@@ -147,6 +147,49 @@
     assert context.later >= 10, context.later
 
 
+REPLIES = {
+    "resets the connection": gatewayhost.Reply(b"", "reset"),
+    "answers 500": gatewayhost.Reply(FAILED),
+    "sends malformed bytes": gatewayhost.Reply(b"HTTP/1.1 abc\r\n\r\n"),
+    "sends its answer twice": gatewayhost.Reply(OK + OK),
+    "sends a second copy later": gatewayhost.Reply(OK),
+    "refuses without running it": gatewayhost.Reply(
+        b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    ),
+    "answers 404": gatewayhost.Reply(
+        b"HTTP/1.1 404 Unknown\r\nContent-Length: 0\r\n\r\n"
+    ),
+    "answers": gatewayhost.Reply(OK),
+}
+
+
+@behave.then("a request to a server that {answers} counts as {failed:d} failures")
+def check_counted(context, answers, failed):
+    async def run():
+        server = gatewayhost.ScriptedServer(lambda fields, target: REPLIES[answers])
+        host = gatewayhost.GatewayHost(
+            [server], "safe", 1, evidence={"from_servers": 1}
+        )
+        await host.start()
+        host.settle()
+        try:
+            if answers == "closes its port":
+                await server.close()
+            received = await gatewayhost.call(host.address)
+            if answers.startswith("sends a second copy"):
+                for writer in server._connections.values():
+                    writer.write(OK)
+            await asyncio.sleep(0.1)
+            now = time.clock_gettime(time.CLOCK_BOOTTIME)
+            return received, host.forwarder.evidence.list_outcomes(now)
+        finally:
+            await host.close()
+
+    received, outcomes = asyncio.run(run())
+    counted = sum(item.failed for item in outcomes) / serverevidence.RECENT_WEIGHT
+    assert counted == failed, (received, outcomes)
+
+
 @behave.then(
     "a server that is down for 2 of every 4 seconds fails fewer than half as many"
     " attempts as with each host's own backoff"
