--- a/src/lycheegauge/internal/coordination/servercandidates.py
+++ b/src/lycheegauge/internal/coordination/servercandidates.py
@@ -222,6 +222,7 @@
             self._share,
             self._count_connections,
             self._preferences,
+            copy.deepcopy(self._evidence),
         )
 
     def weighs_work(self, servers: int) -> bool:
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -345,7 +345,7 @@
         brought = shared.note_sent(server, self._size)
         self._tried_servers.add(server.name)
         self._response.begin_attempt(self._service, server.name, self._parts, brought)
-        is_complete = has_failed = False
+        is_complete = False
         sent_at = self._sent_at = clock.read_clock()
         try:
             connection.holder = self._exchange.holder
@@ -358,17 +358,15 @@
             was_run = was_run or self._copy_runs > 0
             self._check_response(server, head, connection)
             verdict = self._classify(head)
-            if head.status >= forwardrules.SERVER_ERROR_MIN and (
-                verdict is not forwardrules.Verdict.NOT_RUN
-            ):
-                has_failed = True
-                shared.note_failure(server)
             if verdict is forwardrules.Verdict.NOT_RUN:
                 self._may_have_run = was_run
                 self._runs -= 1
                 self._refusals += 1
                 is_complete = await self._discard_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVERS_FULL)
+            has_failed = head.status >= forwardrules.SERVER_ERROR_MIN
+            if has_failed:
+                shared.note_failure(server)
             is_broken = self._exchange.is_started and not (
                 responseforwarding.is_event_stream(self._route, head)
             )
@@ -383,13 +381,7 @@
             is_complete = True
             if not has_failed:
                 shared.note_answer(server, sent_at)
-            self._record.write_answered(self._route, head, self._runs)
-            self._hedging.note_answer(self._route, sent_at)
-            if head.status < REDIRECT_MIN:
-                self._response.note_settled(clock.read_clock())
-            shared.crashdetector.record_answered(self._digest_request())
-            served_s = clock.read_clock() - sent_at - self._exchange.delayed_s
-            shared.get_forecast(self._service).note_served(served_s)
+            self._note_answered(self._route, head)
             return None
         except errors.BackendServerFailedError as error:
             if not memorylimits.may_blame_server(self._exchange.longest_delay_s):
@@ -412,6 +404,19 @@
             else:
                 connection.abort()
 
+    def _note_answered(
+        self, route: routetables.Route, head: upstream.ResponseHead
+    ) -> None:
+        """Records that a response was forwarded to its end."""
+        shared, now = self._shared, clock.read_clock()
+        self._record.write_answered(route, head, self._runs)
+        self._hedging.note_answer(route, self._sent_at)
+        if head.status < REDIRECT_MIN:
+            self._response.note_settled(now)
+        shared.crashdetector.record_answered(self._digest_request())
+        served_s = now - self._sent_at - self._exchange.delayed_s
+        shared.get_forecast(self._service).note_served(served_s)
+
     async def _read_answer(
         self, server: roster.ServerListing, connection: upstream.UpstreamConnection
     ) -> hedgedattempt.Attempt:
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -120,7 +120,8 @@
     for ending, event in {
         "_send_refusal": "_write_given_up",
         "_end": "_write_given_up",
-        "_attempt": "write_answered",
+        "_attempt": "_note_answered",
+        "_note_answered": "write_answered",
         "run": "write_cancelled",
     }.items():
         assert event in inspect.getsource(getattr(request, ending)), ending
--- a/tests/support/lockstep.py
+++ b/tests/support/lockstep.py
@@ -15,6 +15,7 @@
     rosterview,
     servercandidates,
     serverchoice,
+    serverevidence,
     serverstatements,
 )
 from lycheegauge.internal.protocol import controlcalls, freshness, roster, routetables
@@ -63,6 +64,7 @@
             view, self.choice, serverstatements.ServerStatements(self.source),
             coldratelimit.ColdRateLimiter(), hostshares.HostShareHolder(10.0),
             lambda _: -1, dataclasses.replace(preferences, availability_zone=self.zone),
+            serverevidence.ServerEvidence(0, hostshares.HostShareHolder(10.0)),
         )  # fmt: skip
 
     def choose(self, declared, size, now):
