--- a/tests/steps/explainroute.py
+++ b/tests/steps/explainroute.py
@@ -24,7 +24,7 @@
     async def run():
         scripted = [gatewayhost.ScriptedServer(None) for _ in range(servers)]
         host = gatewayhost.GatewayHost(
-            scripted, "safe", 2, {"weigh_work": True}, ENGINE
+            scripted, "safe", 2, server_choice={"weigh_work": True}, engine=ENGINE
         )
         await host.start()
         try:
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -197,7 +197,7 @@
         support.make_late(host, threshold_s=0.01)
         ended = []
         note_ended = host.forwarder.note_ended
-        host.forwarder.note_ended = lambda server: (ended.append(1), note_ended(server))
+        host.forwarder.note_ended = lambda *given: (ended.append(1), note_ended(*given))
 
         async def leave(number):
             with contextlib.suppress(TimeoutError):
--- a/tests/steps/serverchoice.py
+++ b/tests/steps/serverchoice.py
@@ -244,7 +244,7 @@
 async def start_host(make_reply, repetition="resumable_stream"):
     scripted = [gatewayhost.ScriptedServer(make_reply)]
     host = gatewayhost.GatewayHost(
-        scripted, repetition, 2, {"weigh_work": True}, ENGINE
+        scripted, repetition, 2, server_choice={"weigh_work": True}, engine=ENGINE
     )
     await host.start()
     host.settle()
