Test switches of 72 ranks in virtual time, and read silent ranks sooner

It showed: a relay with counts of eight ranks needs 0.1 s, so rounds with counts have their own usual duration; one late packet made a rank be called directly for 5 s, whose reports lag 0.2 s, so its agent is asked twice first; late layer plans hold the others up, so they get as much time again as the first three quarters; a silent rank in an idle round is only called in the next one.

--- a/src/lycheegauge/internal/coordination/groups/layerplans.py
+++ b/src/lycheegauge/internal/coordination/groups/layerplans.py
@@ -20,7 +20,7 @@
 SWITCH_OVERHEAD_S = 0.3
 """Time that a switch of a relayed group takes beside its copies, in seconds."""
 
-HORIZON_S = 1.5
+HORIZON_S = 2.5
 """Time for which a plan counts, in seconds. The next switch follows at once, so a map
 that removes most of the unevenness early is better than the best one late."""
 
--- a/src/lycheegauge/internal/coordination/groups/partdemand.py
+++ b/src/lycheegauge/internal/coordination/groups/partdemand.py
@@ -26,6 +26,9 @@
 """Expected distance between two samples, as a multiple of the square root of experts
 per choice."""
 
+SUMS_MAX = 64
+"""Sums kept: those of all parts, and of parts of which a rank was silent."""
+
 SHIFTED_WEIGHT = 0.1
 """Weight of earlier choices after a shift."""
 
@@ -93,13 +96,16 @@
 
     def _add_sum(self, item: CountSum, is_first: bool) -> list[float]:
         """Returns the choices since the same ranks were read before."""
-        before = self._sums.pop(item.members, None)
-        # The intervals of overlapping sets would be counted twice.
-        for members in [other for other in self._sums if other & item.members]:
-            del self._sums[members]
+        before = self._sums.get(item.members)
         self._sums[item.members] = item.counts
         if before is None:
+            if len(self._sums) > SUMS_MAX:
+                del self._sums[next(iter(self._sums))]
             return list(item.counts) if is_first else []
+        # The intervals of overlapping sets would be counted twice.
+        for members in list(self._sums):
+            if members != item.members and members & item.members:
+                del self._sums[members]
         if len(before) != len(item.counts):
             return []
         added = list(map(operator.sub, item.counts, before))
--- a/src/lycheegauge/internal/daemons/layerplanning.py
+++ b/src/lycheegauge/internal/daemons/layerplanning.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 
 import loguru
 
@@ -15,7 +16,7 @@
 from lycheegauge.internal.daemons import workmeter
 from lycheegauge.internal.protocol import maporders, routetables
 from lycheegauge.internal.protocol.generated import services_grpc
-from lycheegauge.internal.transport import peers
+from lycheegauge.internal.transport import clock, peers
 
 SEARCH_S = 0.15
 """Time after which an agent ends its search and returns what it found."""
@@ -23,6 +24,10 @@
 TIMEOUT_S = 0.25
 """Time-out of a plan; without an answer the layer keeps its placement."""
 
+PUNCTUAL_FRACTION = 0.75
+LATE_FACTOR = 2.0
+"""Once this fraction of the layers is planned, the others get as much time again."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlanTask:
@@ -74,15 +79,15 @@
         limits = layerplans.LayerLimits(
             experts.slots, tuple(sorted({1, experts.copies})), gain_per_copy, SEARCH_S
         )
-        calls = []
+        calls: list[asyncio.Task[tuple[maporders.LayerProposal, ...]]] = []
         for placement, loads in zip(task.placements, task.loads, strict=True):
             question = layerplans.make_question(placement, loads, task.paces, limits)
             self._rotation += 1
             engine = engines[self._rotation % len(engines)]
-            calls.append(asyncio.ensure_future(self._plan_layer(engine, question)))
+            calls.append(asyncio.create_task(self._plan_layer(engine, question)))
             # Encoding the questions of all layers at once would take long.
             await asyncio.sleep(0)
-        proposals = await asyncio.gather(*calls)
+        proposals = await _gather_proposals(calls)
         with self._meter.measure("join_layer_plans"):
             return layerplans.join_plans(
                 task.placements,
@@ -119,3 +124,27 @@
             )
             return ()
         return answer.proposals
+
+
+async def _gather_proposals(
+    calls: list[asyncio.Task[tuple[maporders.LayerProposal, ...]]],
+) -> list[tuple[maporders.LayerProposal, ...]]:
+    """Waits for the plans of most layers, and not much longer for the others."""
+    started_at = clock.read_clock()
+    ends_at = math.inf
+    pending = set(calls)
+    try:
+        while pending and clock.read_clock() < ends_at:
+            is_late = ends_at < math.inf
+            _, pending = await asyncio.wait(
+                pending,
+                timeout=ends_at - clock.read_clock() if is_late else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not is_late and len(pending) <= (1.0 - PUNCTUAL_FRACTION) * len(calls):
+                now = clock.read_clock()
+                ends_at = now + (LATE_FACTOR - 1.0) * (now - started_at)
+    finally:
+        for call in pending:
+            call.cancel()
+    return [() if call in pending else call.result() for call in calls]
--- a/src/lycheegauge/internal/daemons/rankfanout.py
+++ b/src/lycheegauge/internal/daemons/rankfanout.py
@@ -12,6 +12,8 @@
 from lycheegauge.internal.protocol.generated import services_grpc
 from lycheegauge.internal.transport import clock, peers
 
+DIRECT_ATTEMPTS = 2
+
 
 @dataclasses.dataclass(slots=True)
 class Reading:
@@ -54,6 +56,7 @@
         wanted: collections.abc.Collection[str],
         question: maporders.EngineQuestion,
         report_lag_s: float,
+        is_insistent: bool = True,
     ) -> Reading:
         """Reads the states of ranks.
 
@@ -63,17 +66,33 @@
             question: What to read.
             report_lag_s: How old the state may be that an engine reports to a host
                 other than its own, in seconds.
+            is_insistent: Whether ranks that don't answer through a relay are called
+                directly at once, and not only in the next round.
         """
         reading = Reading()
-        parts = self.parts.divide(engines, wanted, clock.read_clock())
+        parts = self._divide(engines, wanted)
         await asyncio.gather(
             *(
-                self._observe_part(part, engines, question, report_lag_s, reading)
+                self._observe_part(
+                    part, engines, question, report_lag_s, reading, is_insistent
+                )
                 for part in parts
             )
         )
         return reading
 
+    def _divide(
+        self,
+        engines: collections.abc.Sequence[str],
+        wanted: collections.abc.Collection[str],
+    ) -> list[rankparts.Part]:
+        """Divides ranks into parts; those without an agent are called directly."""
+        now = clock.read_clock()
+        for engine in wanted:
+            if self._routes.is_avoided(engine):
+                self.parts.record_silent(engine, now)
+        return self.parts.divide(engines, wanted, now)
+
     async def _observe_part(
         self,
         part: rankparts.Part,
@@ -81,6 +100,7 @@
         question: maporders.EngineQuestion,
         report_lag_s: float,
         reading: Reading,
+        is_insistent: bool,
     ) -> None:
         asked_at = clock.read_clock()
         reports = await self._ask_relays(part, question)
@@ -92,9 +112,11 @@
                 state.report, asked_at, 0.0
             )
         missing = [e for e in part.members if e not in reading.observations]
+        if part.relay and not is_insistent:
+            missing = []
         answers = await asyncio.gather(
             *(
-                self._routes.observe(engine, question, engines, True, report_lag_s)
+                self._observe_directly(engine, question, engines, report_lag_s)
                 for engine in missing
             )
         )
@@ -115,6 +137,38 @@
         if counts:
             reading.sums.append(partdemand.CountSum(frozenset(ranks), counts))
 
+    async def _observe_directly(
+        self,
+        engine: str,
+        question: maporders.EngineQuestion,
+        engines: collections.abc.Sequence[str],
+        report_lag_s: float,
+    ) -> engineroutes.Observation | None:
+        """Reads one rank, in the end by a route on which its report may be late.
+
+        Its agent is asked twice: a single lost packet must not make the switch wait for
+        the lag of direct reports, and for all calls in the next seconds.
+        """
+        for _ in range(DIRECT_ATTEMPTS):
+            if self._routes.is_avoided(engine):
+                break
+            asked_at = clock.read_clock()
+            try:
+                report: maporders.EngineReport = await self._pool.call(
+                    self._get_agent_address(engine),
+                    "observe engine",
+                    lambda channel: services_grpc.EngineAgentStub(channel).Observe,
+                    question,
+                    self.parts.compute_limit_s(question.counts),
+                    drop_on_failure=True,
+                )
+                return engineroutes.Observation(report, asked_at, 0.0)
+            except errors.LycheegaugeError as error:
+                failure = error
+        else:
+            self._routes.record_agent_failure(engine, failure)
+        return await self._routes.observe(engine, question, engines, True, report_lag_s)
+
     async def _ask_relays(
         self, part: rankparts.Part, question: maporders.EngineQuestion
     ) -> maporders.GroupReports:
@@ -174,7 +228,7 @@
             packed_layers: The map of orders to prepare.
             wait_prepared_s: How long agents wait until the experts are copied.
         """
-        parts = self.parts.divide(engines, orders, clock.read_clock())
+        parts = self._divide(engines, orders)
         batches = await asyncio.gather(
             *(
                 self._order_part(part, engines, orders, packed_layers, wait_prepared_s)
@@ -224,11 +278,8 @@
                 self.parts.compute_limit_s() + wait_prepared_s,
                 drop_on_failure=True,
             )
-        except errors.LycheegaugeError as error:
-            now = clock.read_clock()
-            self.parts.record_failed_relay(called, now)
-            if not part.relay:
-                self._routes.record_agent_failure(called, error)
+        except errors.LycheegaugeError:
+            self.parts.record_failed_relay(called, clock.read_clock())
             return (unanswered,) * len(part.members)
         answered = {
             engine
--- a/src/lycheegauge/internal/daemons/relayedgroup.py
+++ b/src/lycheegauge/internal/daemons/relayedgroup.py
@@ -33,19 +33,30 @@
 """Time until the held pass is due, in rounds of calls: the order to hold, a query of
 the holding rank and the orders to arm."""
 
+RECENTLY_UNANSWERED_S = 10.0
+"""How long an unanswered order counts as recent, in seconds."""
+
 WAIT_INTERVAL_S = 0.05
 """Interval between polls while a switch waits for a rank."""
 
 RELEASED_WAIT_MIN_S = 0.02
 RELEASED_WAIT_MAX_S = 0.1
 
-COPY_WAIT_FACTOR = 1.5
+COPY_WAIT_FACTOR = 1.25
 """Agents wait this much longer for copies than the engines state."""
 
-COPY_WAIT_EXTRA_S = 0.05
+COPY_WAIT_EXTRA_S = 0.03
 
 COPY_WAIT_MAX_S = 0.5
 
+RELAXED_S = 1.0
+"""Time since all ranks answered in one round for which silent ranks are not called at
+once while no switch is under way, in seconds."""
+
+COUNTS_DUE_FRACTION = 0.9
+"""Counts are read again after this fraction of the poll interval: polls are not exactly
+as far apart as that."""
+
 PLAN_AGE_MAX_S = 0.5
 """Age up to which a plan made during the switch before is used, in seconds."""
 
@@ -119,6 +130,7 @@
         self.strangers: set[str] = set()
         self._known: dict[str, engineroutes.Observation] = {}
         self._needs_all = True
+        self._whole_at = -math.inf
         self._counts_at = -math.inf
         self._plan_task: asyncio.Task[_Plan | None] | None = None
         self._record: switchrecord.SwitchRecord | None = None
@@ -178,38 +190,55 @@
         """Reads the ranks whose state is not known to be current."""
         for engine in self._known.keys() - set(engines):
             del self._known[engine]
-        if self._needs_all:
-            wanted = set(engines)
-        else:
-            wanted = set(engines) - self._known.keys()
+        wanted = set(engines)
+        if not self._needs_all:
+            wanted -= self._known.keys()
         if not wanted:
             return
-        for engine in wanted:
-            self._known.pop(engine, None)
         now = clock.read_clock()
-        phase = self.state.switch.phase
-        is_due = phase is mapswitch.Phase.IDLE and (
-            now - self._counts_at >= 0.9 * self._around.maps.poll_interval_s
-        )
-        if phase is mapswitch.Phase.RELEASED:
-            is_due = not self._is_counted_since_release
-        question = maporders.EngineQuestion(
-            is_due and len(wanted) == len(engines), not self.state.placements
-        )
-        if question.counts:
+        is_whole = len(wanted) == len(engines)
+        has_counts = is_whole and self._are_counts_due(now)
+        if has_counts:
             self._counts_at = now
+        # While no switch is under way, a report of the last second is good enough.
+        is_relaxed = self.state.switch.is_idle and now - self._whole_at < RELAXED_S
         reading = await self._around.fanout.observe(
-            engines, wanted, question, experts.report_lag_s
+            engines,
+            wanted,
+            maporders.EngineQuestion(has_counts, not self.state.placements),
+            experts.report_lag_s,
+            not is_relaxed,
         )
-        for engine, item in reading.observations.items():
+        if not is_relaxed:
+            for engine in wanted:
+                self._known.pop(engine, None)
+            self.silent = self.silent & set(engines) | wanted
+        if len(reading.observations) == len(engines):
+            self._whole_at = now
+        self._take_observations(reading.observations)
+        self._add_counts(reading)
+        if self._known and is_whole:
+            self.state.update_pass_time(self._list_reports(), clock.read_clock())
+
+    def _are_counts_due(self, now: float) -> bool:
+        match self.state.switch.phase:
+            case mapswitch.Phase.IDLE:
+                interval_s = COUNTS_DUE_FRACTION * self._around.maps.poll_interval_s
+                return now - self._counts_at >= interval_s
+            case mapswitch.Phase.RELEASED:
+                return not self._is_counted_since_release
+        return False
+
+    def _take_observations(
+        self, observations: dict[str, engineroutes.Observation]
+    ) -> None:
+        for engine, item in observations.items():
             if item.report.group == self.name:
                 self._known[engine] = item
             else:
+                self._known.pop(engine, None)
                 self.strangers.add(engine)
-        self.silent = (self.silent & set(engines) | wanted) - set(reading.observations)
-        self._add_counts(reading)
-        if self._known and len(wanted) == len(engines):
-            self.state.update_pass_time(self._list_reports(), clock.read_clock())
+        self.silent -= observations.keys()
 
     def _add_counts(self, reading: rankfanout.Reading) -> None:
         if not reading.sums or not reading.observations:
@@ -290,6 +319,9 @@
         hold_ahead_s = max(HOLD_AHEAD_MIN_S, HOLD_AHEAD_ROUNDS * round_s)
         # Current reports are needed after the order to hold and after arming.
         hold_ahead_s += 2 * lag_s
+        if clock.read_clock() - self.state.unanswered_at < RECENTLY_UNANSWERED_S:
+            # A silent rank is read and ordered again before the pass is due.
+            hold_ahead_s += self._around.fanout.parts.compute_limit_s() + round_s
         self.state.switch.set_hold_ahead(
             groupstate.choose_hold_ahead_steps(
                 hold_ahead_s, self.state.pass_s, HOLD_AHEAD_MIN_S
--- /dev/null
+++ b/tests/steps/relayedmaps.py
@@ -0,0 +1,297 @@
+import asyncio
+import random
+import statistics
+import sys
+
+import behave
+from support import relayedsite
+
+from lycheegauge import errors, settings
+from lycheegauge.internal.coordination import rosterregistry
+from lycheegauge.internal.coordination.groups import (
+    evensplit,
+    layerplans,
+    partdemand,
+)
+from lycheegauge.internal.daemons import relayedmaps, workmeter
+from lycheegauge.internal.protocol import maporders, packedmaps, roster
+from lycheegauge.internal.transport import clock
+
+DURATION_S = 17.0
+
+
+@behave.given("a group of 72 ranks whose demand shifts every 3.3 seconds")
+def prepare_group(context):
+    context.loss, context.late, context.lost = 0.0, 0.0, set()
+
+
+@behave.given("a loss of {percent:d} packets in 100 in a third of the ranks")
+def prepare_loss(context, percent):
+    context.loss = percent / 100
+
+
+@behave.given("the agents of {count:d} ranks are lost")
+def lose_agents(context, count):
+    context.lost = set(range(1, 24 * count, 24))
+
+
+@behave.given(
+    "{percent:d} orders in 100 are carried out 2 to 12 seconds late without an answer"
+)
+def prepare_late_orders(context, percent):
+    context.late = percent / 100
+
+
+async def cancel(tasks):
+    for task in tasks:
+        if task.done():
+            task.result()
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def open_site(context):
+    site = relayedsite.Site(clock.read_clock(), seed=1, loss=context.loss)
+    site.lost_agents, site.late_fraction = context.lost, context.late
+    relayedsite.connect_directly(site)
+    return site
+
+
+def simulate(context, is_relayed):
+    async def main():
+        site = open_site(context)
+        coordinator = relayedsite.Coordinator(site, is_relayed)
+        tasks = [asyncio.create_task(f()) for f in (site.run_passes, coordinator.run)]
+        await asyncio.sleep(DURATION_S)
+        await cancel(tasks)
+        return site
+
+    site = relayedsite.run(main)
+    assert not site.problem, site.problem
+    delays = relayedsite.list_delays(site)
+    skews = [skew for at, skew in site.skews if at > relayedsite.SHIFT_S]
+    processor_s = site.processor_s + site.meter.spent_s
+    print(
+        f"figure: {'relays' if is_relayed else 'a call to each rank'}, "
+        f"loss {context.loss}, {len(context.lost)} agents lost: a fitting map after "
+        f"{statistics.median(delays):.2f} s, longest {max(delays):.2f} s; mean skew "
+        f"{statistics.mean(skews):.2f}; longest hold {site.longest_hold_s:.2f} s; "
+        f"{site.calls / DURATION_S:.0f} calls/s, "
+        f"{processor_s / DURATION_S:.3f} of a core",
+        file=sys.__stdout__,
+    )
+    return site, statistics.median(delays), statistics.mean(skews)
+
+
+@behave.when("its maps are switched with a call to each rank and through relays")
+def switch_both(context):
+    context.before = simulate(context, is_relayed=False)
+    context.after = simulate(context, is_relayed=True)
+
+
+@behave.when("its maps are switched through relays")
+def switch_relayed(context):
+    context.after = simulate(context, is_relayed=True)
+
+
+@behave.then(
+    "the relayed maps fit in under half of the time, on average with less skew"
+)
+def check_sooner(context):
+    assert context.after[1] < 0.5 * context.before[1]
+    assert context.after[2] < context.before[2]
+
+
+@behave.then("the coordinator makes fewer calls and needs less processor time")
+def check_costs(context):
+    before, after = context.before[0], context.after[0]
+    assert after.calls < 0.5 * before.calls
+    assert (
+        after.processor_s + after.meter.spent_s
+        < before.processor_s + before.meter.spent_s
+    )
+
+
+@behave.then("a map that fits is in force within {limit:g} seconds")
+def check_delay(context, limit):
+    assert context.after[1] <= limit, context.after[1]
+
+
+@behave.then("each pass had one map and no pass was held longer than {limit:g} seconds")
+def check_holds(context, limit):
+    assert context.after[0].longest_hold_s <= limit, context.after[0].longest_hold_s
+
+
+def is_held(site):
+    return any(rank.held != relayedsite.mapworld.NONE for rank in site.ranks)
+
+
+async def run_until_held(site, coordinator, armed):
+    """Runs until a pass is held and some ranks are armed for it."""
+    tasks = [asyncio.create_task(f()) for f in (site.run_passes, coordinator.run)]
+    while not is_held(site) or sum(bool(r.armed) for r in site.ranks) < armed:
+        await asyncio.sleep(0.002)
+    return tasks
+
+
+async def finish_with_successor(site, tasks):
+    successor = relayedsite.Coordinator(site, True, appointment=2)
+    tasks.append(asyncio.create_task(successor.run()))
+    await asyncio.sleep(1.0)
+    return not is_held(site) or site.longest_hold_s < 1.0
+
+
+@behave.when("the coordinator is lost while a pass is held and another one follows")
+def lose_coordinator(context):
+    async def main():
+        site = open_site(context)
+        first = relayedsite.Coordinator(site, True)
+        passes, polls = await run_until_held(site, first, armed=20)
+        await cancel([polls])
+        tasks = [passes]
+        context.is_released = await finish_with_successor(site, tasks)
+        await asyncio.sleep(5.0)
+        await cancel(tasks)
+        return site
+
+    context.site = relayedsite.run(main)
+
+
+@behave.when(
+    "the coordinator is frozen while it arms the ranks, and resumes 3 seconds later"
+)
+def freeze_coordinator(context):
+    async def main():
+        site = open_site(context)
+        first = relayedsite.Coordinator(site, True)
+        tasks = await run_until_held(site, first, armed=20)
+        site.unfrozen[first.name] = asyncio.Event()
+        context.is_released = await finish_with_successor(site, tasks)
+        await asyncio.sleep(2.0)
+        site.unfrozen[first.name].set()
+        await asyncio.sleep(5.0)
+        await cancel(tasks)
+        return site
+
+    context.site = relayedsite.run(main)
+
+
+@behave.then("no pass is held after {limit:g} seconds and all ranks have one map")
+def check_released(context, limit):
+    site = context.site
+    assert context.is_released and site.longest_hold_s <= limit, site.longest_hold_s
+    assert not site.problem, site.problem
+    assert site.ranks[0].map[0] > 0 and len({r.map[0] for r in site.ranks}) == 1
+
+
+@behave.then("the servers of groups below the size are left to the other coordination")
+def check_small(context):
+    async def main():
+        site = relayedsite.Site(clock.read_clock())
+        site.ranks, ranks = site.ranks[:6], site.ranks
+        service, servers = site.make_service(), site.list_servers()
+        results = []
+        for size, known in ((0, servers), (48, servers[:6]), (48, servers)):
+            pool = relayedsite.Pool(site, "coordinator 1")
+            site.ranks = ranks if known is servers else ranks[:6]
+            relayed = relayedmaps.RelayedMaps(
+                1, pool, site.port, None, workmeter.WorkMeter(),
+                settings.MapSettings(relayed_from_ranks=size), lambda *_: None,
+            )  # fmt: skip
+            for rank in ranks:
+                rank.report_size = 6
+            polled = await relayed.poll_service(service, known, 0.12)
+            results.append((polled.small == tuple(known), polled.polled.wait_s))
+        return results, site.calls
+
+    (off, few, many), calls = relayedsite.run(main)
+    assert off == few == many == (True, float("inf")), (off, few, many)
+    assert calls == 9, calls
+
+
+@behave.then(
+    "the leader lists the pace of a slow rank until the coordinator stops reporting it"
+)
+def check_paces(context):
+    lifetimes = rosterregistry.EntryLifetimes(3.0, 2.0)
+    registry = rosterregistry.RosterRegistry("source", lifetimes)
+    listing = roster.ServerListing("a", 1, 1, "s", "10.0.0.1:80", "z", 5, 0.0)
+    registry.record_announcement(listing, 0.0)
+    cursor = registry.list_changes("source", 0).cursor
+    for pace, listed in ((12.0, 12.0), (11.0, 12.0), (2.0, 2.0), (0.0, 0.0)):
+        registry.update_paces([roster.ServerPace("a", pace)] if pace else [])
+        registry.record_announcement(listing, 1.0)
+        assert registry.find_server("a").pace == listed
+    changes = registry.list_changes("source", cursor)
+    assert changes.cursor == cursor + 3 and changes.servers[0].pace == 0.0
+
+
+@behave.then("maps are the same after packing, and damaged ones give a border error")
+def check_packed(context):
+    layers = tuple(
+        maporders.LayerPlacement(
+            tuple(maporders.RankExperts((r, r + 9)[: 1 + r % 2]) for r in range(5))
+        )
+        for _ in range(3)
+    )
+    packed = packedmaps.pack_layers(layers)
+    assert packedmaps.unpack_layers(packed) == layers
+    large = packedmaps.zlib.compress(bytes(2 * packedmaps.MAP_MAX_BYTES))
+    for damaged in (b"", b"x", packed[:-3], packed[:9], large):
+        try:
+            packedmaps.unpack_layers(damaged)
+        except errors.BorderError:
+            continue
+        raise AssertionError(damaged[:20])
+
+
+@behave.then("the demand of parts of a group is counted once for each interval")
+def check_part_demand(context):
+    def read(demand, parts, epoch, step, now):
+        sums = [partdemand.CountSum(frozenset(m), c) for m, c in parts]
+        demand.add_sums(sums, epoch, step, now)
+        return demand.total
+
+    demand = partdemand.PartDemand(0.5)
+    assert read(demand, [((0, 1), (100, 300))], 1, 30, 0.0) == 400
+    late = partdemand.PartDemand(0.5)
+    assert read(late, [((0, 1), (100, 300))], 1, 900, 0.0) == 0
+    # Rank 1 is silent once; the next whole read covers both intervals.
+    assert read(late, [((0,), (60, 160))], 1, 901, 0.2) == 0
+    assert read(late, [((0, 1), (200, 600))], 1, 902, 0.4) == 400
+    assert read(late, [((0,), (90, 190))], 1, 903, 0.6) == 400
+    # A rank that starts again begins at 0.
+    assert read(late, [((0, 1), (20, 30))], 1, 904, 0.8) == 400
+    assert read(late, [((0, 1), (40, 60))], 2, 7, 1.0) >= 100
+
+
+@behave.then(
+    "a joined map changes only layers with proposals, within the slots of a rank"
+)
+def check_joined(context):
+    source, paces = random.Random(4), [1.0] * 12
+    start = [evensplit.place_round_robin(24, 12)] * 3
+    loads = [[source.paretovariate(1.1) for _ in range(24)] for _ in start]
+    limits = layerplans.LayerLimits(4, (1, 2), 0.0, 1.0)
+    proposals = [
+        [
+            item
+            for item in layerplans.iterate_proposals(
+                layerplans.make_question(placement, layer, paces, limits)
+            )
+            if item is not None
+        ]
+        for placement, layer in zip(start, loads, strict=True)
+    ]
+    slowest = [
+        evensplit.compute_slowest_time(placement, layer, paces)
+        for placement, layer in zip(start, loads, strict=True)
+    ]
+    proposals[1] = []
+    plan = layerplans.join_plans(start, slowest, proposals, 0.05, 0.0)
+    assert plan.placements[1] == start[1] and plan.placements[0] != start[0]
+    for placement, layer, old in zip(plan.placements, loads, slowest, strict=True):
+        assert evensplit.compute_slowest_time(placement, layer, paces) <= old
+        assert max(map(len, placement)) <= 4
+        assert {expert for held in placement for expert in held} == set(range(24))
+    assert layerplans.join_plans(start, slowest, [[]] * 3, 0.05, 0.0) is None
