Don't begin a small switch while demand is moving

A read that covers a shift by half shows a small gain; the switch for it took 0.7 s, and the one that mattered had to wait. While the latest read differs from earlier ones, only switches that save a quarter of the slowest ranks' time begin.

--- a/src/lycheegauge/internal/coordination/groups/partdemand.py
+++ b/src/lycheegauge/internal/coordination/groups/partdemand.py
@@ -49,6 +49,9 @@
 class PartDemand(demand.Demand):
     """Sums the choices of experts, with exponential decay and a sense of shifts.
 
+    ``is_moving`` tells whether the latest read differs from the earlier ones, so that
+    it may cover the time before a shift, too.
+
     Args:
         half_life_s: Time after which a choice has half its weight, in seconds, as long
             as reads bring enough choices.
@@ -59,6 +62,7 @@
         self._half_life_s = half_life_s
         self._sums: dict[frozenset[int], tuple[int, ...]] = {}
         self._epoch = -1
+        self.is_moving = False
 
     def add_sums(
         self,
@@ -114,6 +118,7 @@
 
     def _compute_fade(self, added: list[float], now: float) -> float:
         """Computes the weight that earlier choices keep."""
+        self.is_moving = False
         choices = sum(added)
         age_s = now - self._updated_at
         if choices < CHOICES_PER_EXPERT * len(added):
@@ -125,6 +130,7 @@
         moved = _compute_distance(self._loads, known, added, choices)
         moved -= NOISE_FACTOR * math.sqrt(len(added) * (1.0 / choices + 1.0 / known))
         shifted = (moved - SHIFT_DISTANCE_MIN) / (SHIFT_DISTANCE - SHIFT_DISTANCE_MIN)
+        self.is_moving = shifted > 0.0
         return fade * min(1.0, max(SHIFTED_WEIGHT, 1.0 - shifted))
 
 
--- a/src/lycheegauge/internal/daemons/relayedgroup.py
+++ b/src/lycheegauge/internal/daemons/relayedgroup.py
@@ -374,6 +374,11 @@
         if planned is None or planned.plan is None:
             return False
         plan = planned.plan
+        gain = 1.0 - plan.slowest / (planned.skew_before * planned.mean_load)
+        if self._demand.is_moving and gain < copytiming.URGENT_SWITCH_GAIN:
+            # The next read shows what demand is moving to, and a switch under way then
+            # would delay the one that matters.
+            return False
         copies = [
             sum(
                 len(set(new[rank]).difference(old[rank]))
