Keep read-ahead and the ending of answers small

What a caller sends ahead of the response to its request is read once and was not limited to less than 64 KiB a connection; with counted bytes it is 16 KiB. The incomplete event of a stream that no other server resumes is now counted too.

--- a/src/lycheegauge/internal/daemons/responseforwarding.py
+++ b/src/lycheegauge/internal/daemons/responseforwarding.py
@@ -153,6 +153,7 @@
         while part := await connection.read_chunk():
             self._count_events(splitter.feed(part))
             _check_event_size(splitter)
+            self._exchange.note_buffered(splitter.incomplete_bytes)
             if not self._exchange.is_started:
                 self._start(head)
             await self._write(part, connection, splitter.pop_count())
--- a/src/lycheegauge/internal/transport/bytebudget.py
+++ b/src/lycheegauge/internal/transport/bytebudget.py
@@ -23,7 +23,7 @@
 UPDATE_INTERVAL_S = 0.05
 """Progress is not measured more often, as each waiting request costs a system call."""
 
-ENDED_AT_ONCE_MAX = 32
+ENDED_AT_ONCE_MAX = 16
 """Requests ended in one check; more would delay others, as each writes a log line."""
 
 UNSENT_IN_SYSTEM_BYTES = 65_536
--- a/src/lycheegauge/internal/transport/web.py
+++ b/src/lycheegauge/internal/transport/web.py
@@ -21,6 +21,10 @@
 MAX_READ_BYTES = 65_536
 """Upper limit on the size of one read of a body."""
 
+BOUNDED_READ_BYTES = 16_384
+"""Upper limit on one read if held bytes are counted. What a caller sends ahead of the
+response to its request is read once and not counted."""
+
 MALFORMED_DETAIL = "malformed HTTP/1.1: invalid start line, header, length or chunk"
 TORNADO_BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 """What tornado writes to the stream when it can't parse a request."""
@@ -149,12 +153,13 @@
         self._host, self._port = peers.split_address(address)
         # The handlers of ``Application`` limit the body themselves. With a limit
         # here, tornado would respond with 400 before they can refuse a large body.
+        read_bytes = MAX_READ_BYTES if budget is None else BOUNDED_READ_BYTES
         has_typed_errors = isinstance(application, Application)
         self._server = LimitedServer(
             application,
             max_header_size=limits.header_bytes * HEADER_READ_FACTOR,
             max_body_size=sys.maxsize if has_typed_errors else limits.body_bytes,
-            chunk_size=min(limits.body_bytes, limits.buffered_bytes, MAX_READ_BYTES),
+            chunk_size=min(limits.body_bytes, limits.buffered_bytes, read_bytes),
             max_buffer_size=limits.body_bytes + limits.buffered_bytes,
             idle_connection_timeout=limits.idle_timeout_s,
             body_timeout=limits.idle_timeout_s,
