Handle slow ranks, restarts and lost servers while streams wait

Cause: a waiting request was started although ranks had become too slow for it to finish; a restarted host had no lease until those of a lost leader had ended, and refused all streams of an idle group for that time; and a service that lost a few servers fell below the size from which admission is used, which left its open streams uncounted. Change: requests that wait are refused once they can't finish. While a leader answers pulls but grants nothing yet, all hosts together use half of what the pulls show to be free. A service stays under admission until half of the required servers are lost.

--- a/src/lycheegauge/internal/coordination/streamadmission.py
+++ b/src/lycheegauge/internal/coordination/streamadmission.py
@@ -227,9 +227,9 @@
         profile: The engines of the request's service.
         wait_max_s: The longest wait of any request, in seconds.
     """
-    capacity = host.capacity
-    pass_s = capacity.predict_pass(min(host.own + host.others + 1, capacity.limit))
-    if capacity.is_slow and request.work.events * pass_s > request.left_s:
+    capacity, open_streams = host.capacity, host.own + host.others
+    pass_s = capacity.predict_pass(min(open_streams + 1, capacity.limit))
+    if not can_finish(capacity, open_streams, request.work, request.left_s):
         return Decision(Verdict.REFUSE, Cause.SLOW_RANKS, 0.0, SLOW_RETRY_AFTER_S)
     if not host.ahead and host.count_places(is_new=True) >= 1.0:
         return Decision(Verdict.START)
@@ -244,6 +244,22 @@
     )
 
 
+def can_finish(
+    capacity: streamcapacity.StreamCapacity,
+    open_streams: float,
+    expected: Work,
+    left_s: float,
+) -> bool:
+    """Tells whether a stream that starts now is expected to end before its deadline.
+
+    Only slow ranks are taken into account; otherwise the capacity ensures it.
+    """
+    if not capacity.is_slow:
+        return True
+    streams = min(open_streams + 1, capacity.limit)
+    return expected.events * capacity.predict_pass(streams) <= left_s
+
+
 def limit_wait(
     request: RequestLoad, pass_s: float, profile: routetables.EngineProfile
 ) -> float:
--- a/src/lycheegauge/internal/coordination/streamgate.py
+++ b/src/lycheegauge/internal/coordination/streamgate.py
@@ -172,25 +172,36 @@
     def start_waiting(
         self, view: GateView, now: float
     ) -> tuple[streamwaiting.Stream, ...]:
-        """Starts the waiting requests for which there is capacity now."""
+        """Starts the waiting requests for which there is capacity now.
+
+        Returns:
+            The requests that no longer wait. Those that are not open are refused:
+            their time has passed while this process was paused, or ranks have become
+            too slow for them.
+        """
         if not len(self.waiting):
             return ()
         capacity = self._update(view, now)
-        started: list[streamwaiting.Stream] = []
+        ended: list[streamwaiting.Stream] = []
         while (found := self.waiting.peek(now)) is not None:
             stream, ignores_headroom = found
-            if now >= stream.waits_until:
-                # Its time has passed while this process was paused.
+            if now >= stream.waits_until or not streamadmission.can_finish(
+                capacity,
+                self.own + view.others,
+                stream.work,
+                stream.deadline - now,
+            ):
                 self.waiting.remove(stream)
                 self.waiting.note_refused(stream, now)
+                ended.append(stream)
                 continue
             host = self._make_host_load(stream.level, capacity, view, now)
             if host.count_places(ignores_headroom) < 1.0:
                 break
             self.waiting.take(stream, now)
             self._open(stream, host)
-            started.append(stream)
-        return tuple(started)
+            ended.append(stream)
+        return tuple(ended)
 
     def leave(self, stream: streamwaiting.Stream, now: float) -> None:
         """Records the end of a request, whether it has started or still waits."""
--- a/src/lycheegauge/internal/daemons/streamadmissions.py
+++ b/src/lycheegauge/internal/daemons/streamadmissions.py
@@ -40,6 +40,11 @@
 """Load updates and gaps between events within this time lead to one look at the waiting
 requests. A host gets some hundred updates per second from a large site."""
 
+PULL_AGE_MAX_S = 1.0
+UNLEASED_FRACTION = 0.5
+"""Part of the capacity that all hosts may use together without leases, as long as a
+leader has answered their last pull within this time, in seconds."""
+
 LOG_INTERVAL_S = 1.0
 CROWDED_FRACTION = 0.5
 """Fraction of the capacity above which hosts tell each other about each change."""
@@ -61,6 +66,7 @@
     gate: streamgate.StreamGate
     servers: tuple[str, ...] = ()
     slots: int = 0
+    is_large: bool = False
     servers_at: float = -math.inf
     others: float = 0.0
     others_at: float = -math.inf
@@ -164,7 +170,7 @@
         if found is None:
             return None
         self._update_servers(found, clock.read_clock())
-        if len(found.servers) < self._part.admission.from_servers:
+        if not found.is_large:
             return None
         return Ticket(
             found,
@@ -239,14 +245,16 @@
     def _end_wait(
         self, stream: streamwaiting.Stream, cause: streamadmission.Cause
     ) -> None:
-        """Refuses a waiting request."""
+        """Starts a waiting request, or refuses it for a cause."""
         ticket = self._tickets.get(stream.number)
         if ticket is None or ticket.future is None or ticket.future.done():
+            # Its caller has left at the same moment; ``leave`` follows.
             return
-        now = clock.read_clock()
-        ticket.future.set_result(
-            self._refuse_stream(ticket.service, stream, cause, now)
-        )
+        refusal = None
+        if cause is not streamadmission.Cause.NONE:
+            now = clock.read_clock()
+            refusal = self._refuse_stream(ticket.service, stream, cause, now)
+        ticket.future.set_result(refusal)
 
     def _refuse_stream(
         self,
@@ -348,11 +356,12 @@
         for service in self._services.values():
             view = self._make_view(service, now)
             for stream in service.gate.start_waiting(view, now):
-                ticket = self._tickets.get(stream.number)
-                if ticket is None or ticket.future is None or ticket.future.done():
-                    # Its caller left at the same moment; ``leave`` follows.
-                    continue
-                ticket.future.set_result(None)
+                if stream.is_open:
+                    self._end_wait(stream, streamadmission.Cause.NONE)
+                elif now >= stream.waits_until:
+                    self._end_wait(stream, streamadmission.Cause.WAITED)
+                else:
+                    self._end_wait(stream, streamadmission.Cause.SLOW_RANKS)
             if len(service.gate.waiting):
                 renews_at = min(renews_at, service.gate.get_next_renewal())
         if math.isfinite(renews_at):
@@ -392,10 +401,22 @@
             len(service.servers),
             service.slots,
             service.others,
-            self._share.get_fraction(now),
+            self._get_fraction(now),
             interval_s,
         )
 
+    def _get_fraction(self, now: float) -> float:
+        """Returns this host's fraction of the capacity; 0 if it may use none.
+
+        A new leader grants no fractions until the leases of its predecessor have ended.
+        After a restart of all hosts nobody holds one for that long, while the pulls
+        show that the capacity is free.
+        """
+        fraction = self._share.get_fraction(now)
+        if fraction <= 0.0 and now - self._view.refreshed_at <= PULL_AGE_MAX_S:
+            return UNLEASED_FRACTION / max(1, len(self._view.hosts))
+        return fraction
+
     def _update_servers(self, service: _Service, now: float) -> None:
         if now - service.servers_at < SERVERS_AGE_MAX_S:
             return
@@ -407,6 +428,9 @@
         declared = self._declared.get(service.name)
         slots = declared.slots if declared else 0
         service.servers = tuple(server.name for server in listed)
+        # A service stays under admission while many of its servers are lost.
+        needed = self._part.admission.from_servers
+        service.is_large = len(listed) >= (needed / 2 if service.is_large else needed)
         service.slots = sum(server.slots or slots for server in listed)
         service.servers_at = now
 
