--- a/src/lycheegauge/internal/coordination/streamadmission.py
+++ b/src/lycheegauge/internal/coordination/streamadmission.py
@@ -55,6 +55,10 @@
 """Expected time until slow ranks have recovered, in seconds. They are slow for some
 seconds, and a caller has to come back early enough to be served."""
 
+UNLEASED_WAIT_S = 0.5
+"""Expected wait at a host without a lease or a stream that can end, in seconds. A new
+lease comes with one of the next pulls."""
+
 RATE_MEMORY_S = 3.0
 """Time over which arrivals are averaged, in seconds."""
 
@@ -296,7 +300,7 @@
     held = max(host.own, host.guaranteed if host.fraction > 0.0 else 0)
     starts_per_s = held / max(1e-3, host.mean_events * pass_s) + host.extra_per_s
     left_per_s = max(MIN_SHARE * starts_per_s, starts_per_s - host.urgent_per_s)
-    return (host.ahead + 1) / left_per_s if left_per_s > 0.0 else math.inf
+    return (host.ahead + 1) / left_per_s if left_per_s > 0.0 else UNLEASED_WAIT_S
 
 
 def compute_retry_after(
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -172,6 +172,8 @@
     def _make_ticket(self) -> streamadmissions.Ticket | None:
         """Creates the request's ticket for the admission of streams, if it is used."""
         assert self._route is not None
+        if not self._shared.admission.is_used(self._service):
+            return None
         fields = self._exchange.headers
         size = self._shared.dialect.parse_request_size(
             fields.get(self._names.token_counts, ""),
--- a/src/lycheegauge/internal/daemons/streamadmissions.py
+++ b/src/lycheegauge/internal/daemons/streamadmissions.py
@@ -139,6 +139,14 @@
 
     # Requests.
 
+    def is_used(self, service: str) -> bool:
+        """Tells whether the requests of a service are subject to admission."""
+        found = self._services.get(service)
+        if found is None:
+            return False
+        self._update_servers(found, clock.read_clock())
+        return found.is_large
+
     def make_ticket(
         self,
         service: str,
@@ -166,12 +174,9 @@
             The ticket; ``None`` if requests of its service are not subject to
             admission.
         """
-        found = self._services.get(service)
-        if found is None:
-            return None
-        self._update_servers(found, clock.read_clock())
-        if not found.is_large:
+        if not self.is_used(service):
             return None
+        found = self._services[service]
         return Ticket(
             found,
             streamwaiting.Stream(
--- a/tests/steps/streamadmission.py
+++ b/tests/steps/streamadmission.py
@@ -348,6 +348,10 @@
     assert len(gate.start_waiting(lost, 0.3)) == 1
     assert gate.start_waiting(lost, 0.4) == ()
     assert len(gate.start_waiting(make_view(8), 0.5)) == queued - 1
+    # The lease may come with the next pull, so an idle host lets requests wait.
+    gate = make_gate()
+    assert gate.arrive(make_stream(), lost, 0.0).decision.verdict is not REFUSE
+    assert len(gate.start_waiting(held, 0.2)) == len(gate.waiting) + 1 == 1
 
 
 @behave.then("load updates that are too old no longer count")
