--- a/src/lycheegauge/internal/coordination/loadnews.py
+++ b/src/lycheegauge/internal/coordination/loadnews.py
@@ -29,6 +29,7 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._tokens: collections.Counter[str] = collections.Counter()
         self._work_ms: collections.Counter[str] = collections.Counter()
+        self._weighed: collections.Counter[str] = collections.Counter()
 
     def apply(self, news: roster.LoadNews, now: float) -> bool:
         """Applies an update; returns whether it is the newest from its host."""
@@ -50,6 +51,7 @@
                 self._tokens[server] += sign * item.tokens
             if item.work_ms:
                 self._work_ms[server] += sign * item.work_ms
+                self._weighed[server] += sign * item.count
 
     def expire(self, now: float) -> None:
         """Removes hosts that have sent no update recently."""
@@ -60,12 +62,13 @@
         self._counts = +self._counts
         self._tokens = +self._tokens
         self._work_ms = +self._work_ms
+        self._weighed = +self._weighed
 
     def forget_server(self, server: str) -> None:
         """Removes what was reported for a server that has restarted."""
         for host_news in self._by_host.values():
             host_news.open_requests.pop(server, None)
-        for totals in (self._counts, self._tokens, self._work_ms):
+        for totals in (self._counts, self._tokens, self._work_ms, self._weighed):
             totals.pop(server, None)
 
     def is_complete(self, hosts: collections.abc.Iterable[str]) -> bool:
@@ -80,6 +83,13 @@
         """Returns the number of tokens reported to be held at a server."""
         return self._tokens[server]
 
+    def count_weighed(self, server: str) -> int:
+        """Returns the number of open requests whose work was reported.
+
+        Hosts of the previous release report only how many requests they have.
+        """
+        return self._weighed[server]
+
     def get_work_s(self, server: str) -> float:
         """Returns the remaining work reported for a server, in seconds."""
         return self._work_ms[server] / 1000
--- a/src/lycheegauge/internal/coordination/serverchoice.py
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -129,7 +129,7 @@
             now: Current time in seconds.
         """
         load = self._loads.get(server.name, _UNKNOWN)
-        known = float(self.news.count(server.name))
+        known = float(self.news.count_weighed(server.name))
         others_s = self.news.get_work_s(server.name)
         if not self.has_recent_news:
             weight = self._fade(load, now)
--- a/tests/steps/serverchoice.py
+++ b/tests/steps/serverchoice.py
@@ -171,6 +171,11 @@
     choice.update_hosts(["h1"], loadnews.NEWS_LIFETIME_S + 0.1)
     assert choice.estimate_tokens(SERVER, 1.1) == 0
     assert choice.estimate_work(SERVER, 0.1, 1.1) == 0
+    # A host of the previous release reports no work; usual requests stand for its own.
+    item = roster.OpenRequests("a", 3)
+    choice.news.apply(roster.LoadNews("h2", 1, (item,)), 1.2)
+    assert choice.estimate_work(SERVER, 0.1, 1.2) == 3 * 0.1 / 2
+    choice.update_hosts(["h2"], 2.3)
     # Without a leader the counts of the last pull fade.
     choice.set_other_requests([roster.OpenRequests("a", 2, 20_000, 50)], 2.0)
     assert choice.estimate_tokens(SERVER, 4.0) == 10_000
