Draw again among usual servers instead of comparing all

The choice now draws again among servers with a free slot and a pace below 1.5, and keeps the first one if its work is less.

--- a/src/lycheegauge/internal/coordination/choicecounts.py
+++ b/src/lycheegauge/internal/coordination/choicecounts.py
@@ -26,7 +26,7 @@
             return ""
         zone = OWN_ZONE if chosen.is_in_zone else OTHER_ZONE
         self._zones[zone] += 1
-        self._slow += chosen.server.pace > 1.0
+        self._slow += serverselection.is_slow(chosen)
         return zone
 
     def pop(self) -> dict[str, typing.Any]:
--- a/src/lycheegauge/internal/coordination/routeexplanation.py
+++ b/src/lycheegauge/internal/coordination/routeexplanation.py
@@ -177,7 +177,7 @@
     against = []
     if candidate.busy >= 1.0:
         against.append("no free slot")
-    if candidate.server.pace > 1.0:
+    if serverselection.is_slow(candidate):
         against.append("slower than usual")
     if candidate.wait_s > 0.0:
         against.append(f"wants no request for {candidate.wait_s:.2f} s")
--- a/src/lycheegauge/internal/coordination/serverselection.py
+++ b/src/lycheegauge/internal/coordination/serverselection.py
@@ -26,6 +26,9 @@
 tenths of a second old, two servers are too few to find a free one, and with more than
 four the hosts choose the same servers; see the flash crowd in the tests."""
 
+SLOW_PACE = 1.5
+"""Pace from which a server counts as slow; smaller changes of it are not reported."""
+
 SERVERS_SAMPLED_WITH_NEWS = 5
 """Servers compared per choice while there are updates from all hosts. They are some
 hundredths of a second old, so more servers can be compared."""
@@ -277,15 +280,21 @@
     """Chooses the least loaded of a few servers; of all, if those are full or slow."""
     sampled = random_source.sample(candidates, min(count, len(candidates)))
     best = min(sampled, key=_rank_load)
-    if best.busy < 1.0 and not _is_slow(best):
+    if best.busy < 1.0 and not (best.work_s and is_slow(best)):
         return best
     # Another server than those drawn may have a free slot or run at its usual pace. A
     # single stream at a slow rank makes the passes of its whole group longer.
-    return min(candidates, key=_rank_load)
+    better = [item for item in candidates if item.busy < 1.0 and not is_slow(item)]
+    if not best.work_s or not better:
+        return min(candidates, key=_rank_load) if best.busy >= 1.0 else best
+    # Drawn again, or all hosts would choose the same of the few that are left.
+    drawn = random_source.sample(better, min(count, len(better)))
+    return min(best, *drawn, key=_rank_load)
 
 
-def _is_slow(candidate: Candidate) -> bool:
-    return bool(candidate.work_s) and candidate.server.pace > 1.0
+def is_slow(candidate: Candidate) -> bool:
+    """Tells whether a server's passes take much longer than usual."""
+    return candidate.server.pace >= SLOW_PACE
 
 
 def _rank_load(candidate: Candidate) -> tuple[bool, float, float]:
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -145,6 +145,7 @@
             part, view, self.choice, self.share, counters, self.random_source
         )
         self.outcomes = requestoutcomes.RequestOutcomes()
+        self._service_sizes: collections.Counter[str] = collections.Counter()
         self._choice_counts = choicecounts.ChoiceCounts()
         preferences = part.server_choice
         self._counts_choices = (
@@ -207,7 +208,9 @@
         if "roster" in changed:
             self.choice.remove_absent(self.view.servers)
             if self.part.server_choice.weigh_work:
-                self.choice.update_servers(self.view.servers.values())
+                listed = self.view.servers.values()
+                self._service_sizes = collections.Counter(s.service for s in listed)
+                self.choice.update_servers(listed)
             self.evidence.update_servers(self.view.servers.values(), clock.read_clock())
             self._detect_crashes()
             self.sweep()
@@ -423,7 +426,7 @@
     def _make_work_model(self, service: str) -> requestwork.WorkModel | None:
         """Makes the model of a service's engines; ``None`` if it is not used."""
         declared = self.index.services.get(service) if self.index else None
-        if declared is None or not self.part.server_choice.weigh_work:
+        if declared is None or not self._weighs_work(service):
             return None
         return requestwork.make_model(declared)
 
@@ -436,6 +439,13 @@
             self.index.services[service], tried, clock.read_clock()
         )
 
+    def _weighs_work(self, service: str) -> bool:
+        """Tells whether the servers of a service are compared by their work."""
+        preferences = self.part.server_choice
+        if not preferences.weigh_work:
+            return False
+        return self._service_sizes[service] >= preferences.from_servers
+
     def _count_connections(self, incarnation: str) -> int:
         """Counts this host's connections to a server; -1 if one of them is idle."""
         if self.pool.has_idle(incarnation):
@@ -492,7 +502,7 @@
         """Records what a server's answer states about the server."""
         now = clock.read_clock()
         names = self.dialect.headers
-        if self.part.server_choice.weigh_work:
+        if self._weighs_work(server.service):
             stated = serverstatements.parse_load(head.get(names.server_load))
             if stated is not None:
                 self.choice.note_stated_load(server.name, stated, now)
