Report a readmission without the failures before it, and test evidence by processes

A trial with real processes showed two faults. A host that readmitted a server reported its earlier failures with the age of the readmission, so that with two such hosts a new leader listed the server again. And if the host that sends the probes did not follow the list, since it was answered there within a second, nobody probed, and the others waited 10 s until the list ended. A readmission now drops the failures before it, and answers after the first probe's time count as probes at the host that would send them.

--- a/src/lycheegauge/internal/coordination/serverevidence.py
+++ b/src/lycheegauge/internal/coordination/serverevidence.py
@@ -170,7 +170,7 @@
         if outage.good < GOOD_PROBES:
             return False
         self._end_outage(key, now)
-        self._readmitted[key] = now
+        self._note_readmitted(key, now)
         return True
 
     def note_failure(self, server: roster.ServerListing, now: float) -> bool:
@@ -256,6 +256,8 @@
                     outage = self._begin_outage(key, now)
                     taken_out.append(suspect.server)
                 outage.hosts, outage.listed_at = suspect.failed_hosts, now
+            elif key not in self._outages:
+                self._readmit_by_answers(key, suspect, now)
         for key in self._readmitted.keys() - self._listed.keys():
             del self._readmitted[key]
         if is_same_leader:
@@ -267,9 +269,7 @@
         self, key: Key, suspect: roster.SuspectServer, now: float
     ) -> bool:
         """Tells whether a listed server is to be out here."""
-        if suspect.failed_hosts < HOSTS_MIN:
-            return False
-        if suspect.failed * FAILED_PARTS < suspect.failed + suspect.answered:
+        if not _is_failing(suspect):
             return False
         failed_at = now - suspect.age_ms / 1000
         if key in self._readmitted and failed_at <= self._readmitted[key]:
@@ -283,6 +283,35 @@
         answered, failed = _count(findings.outcomes, now)
         return failed * FAILED_PARTS >= failed + answered
 
+    def _readmit_by_answers(
+        self, key: Key, suspect: roster.SuspectServer, now: float
+    ) -> None:
+        """Counts answers as those of probes if this host goes on using a server.
+
+        It is the host that would send the probes, and nobody else does.
+        """
+        findings = self._findings.get(key)
+        since = now - suspect.age_ms / 1000 + PROBE_WAITS_S[0]
+        if (
+            not _is_failing(suspect)
+            or findings is None
+            or key in self._readmitted
+            or not self._owns(key, now)
+        ):
+            return
+        latest = list(findings.outcomes)[-GOOD_PROBES:]
+        if len(latest) == GOOD_PROBES and all(
+            at > since and not has_failed for at, has_failed in latest
+        ):
+            self._note_readmitted(key, now)
+
+    def _note_readmitted(self, key: Key, now: float) -> None:
+        self._readmitted[key] = now
+        # Reported with the age of the readmission, earlier failures would seem new.
+        findings = self._findings[key]
+        answers = [item for item in findings.outcomes if not item[1]]
+        findings.outcomes = collections.deque(answers)
+
     def _end_unlisted(self, before: float, now: float) -> None:
         """Ends what the leader no longer lists; own findings stay."""
         for key, outage in list(self._outages.items()):
@@ -315,6 +344,10 @@
             return False
         if not outage.hosts:
             return True
+        return self._owns(key, now)
+
+    def _owns(self, key: Key, now: float) -> bool:
+        """Tells whether this host is the one that probes a server for all hosts."""
         interval = self._share.get_interval(now)
         return serverlimits.count_owned(f"{key[0]} {key[1]}", 1, interval) > 0
 
@@ -366,6 +399,12 @@
     return server.name, server.born_ms
 
 
+def _is_failing(suspect: roster.SuspectServer) -> bool:
+    """Tells whether failures are a large part of the outcomes, at several hosts."""
+    total = suspect.failed + suspect.answered
+    return suspect.failed_hosts >= HOSTS_MIN and suspect.failed * FAILED_PARTS >= total
+
+
 def _drop_old(outcomes: collections.deque[tuple[float, bool]], now: float) -> None:
     while outcomes and outcomes[0][0] <= now - OUTCOMES_S:
         outcomes.popleft()
--- a/tests/failures/serverevidence.feature
+++ b/tests/failures/serverevidence.feature
@@ -70,6 +70,12 @@
   Scenario: Answers at other hosts clear a server with a few failures
     Then a server that failed twice and answered ten others is listed for one pull only
     And a host that was answered within a second does not follow the list
+    And if it is the one to send probes, its answers readmit the server for all
+
+  # Guards against old failures that seem new because they are reported with the age of
+  # the readmission: two such hosts had a new leader list the server again.
+  Scenario: Hosts that readmit a server no longer report its failures
+    Then a new leader does not list a server that two hosts have readmitted
 
   # Guards against pulls that grow, or decisions that change, where nobody asked for it.
   Scenario: Without the setting nothing is reported and no server is out
--- a/tests/steps/serverevidence.py
+++ b/tests/steps/serverevidence.py
@@ -1,10 +1,11 @@
 import asyncio
 import dataclasses
 import itertools
+import json
 import time
 
 import behave
-from support import evidencefleet, gatewayhost
+from support import evidencefleet, forwardingfleet, gatewayhost, processes
 
 from lycheegauge.internal.coordination import (
     hostshares,
@@ -317,6 +318,60 @@
     assert make_evidence([server]).apply_suspects("leader", [single], 10.0) == ()
 
 
+@behave.then("a new leader does not list a server that two hosts have readmitted")
+def check_readmitted(context):
+    leader = Leader()
+    hosts = [make_evidence([leader.server] * 3) for _ in range(2)]
+
+    def pull(now, transit_s=0.0):
+        for number, evidence in enumerate(hosts):
+            outcomes = evidence.list_outcomes(now)
+            arrived_at = now + transit_s
+            leader.registry.record_outcomes(f"host-{number}", outcomes, arrived_at)
+            suspects = leader.list_suspects(now)
+            evidence.apply_suspects("leader", suspects, now)
+        return suspects
+
+    for evidence in hosts:
+        for _ in range(serverevidence.OWN_FAILURES):
+            evidence.note_failure(leader.server, 10.0)
+    # There is no leader until the hosts have readmitted it by their own probes.
+    assert all(evidence.count_out() for evidence in hosts)
+    for evidence in hosts:
+        for at in (11.3, 11.4):
+            evidence.note_answer(leader.server, at - 0.1, at)
+    for number, now in enumerate((11.5, 11.8, 12.1, 12.4)):
+        # Failures seem the newer the longer a report takes.
+        suspects = pull(now, 0.01 * number)
+        assert suspects == (), (now, suspects)
+        assert not any(evidence.count_out() for evidence in hosts), now
+
+
+@behave.then("if it is the one to send probes, its answers readmit the server for all")
+def check_readmitted_by_answers(context):
+    for length, is_listed in ((0.9, False), (0.0, True)):
+        leader, evidence = Leader(), make_evidence([evidencefleet.make_listing(0)] * 3)
+        demand = evidence._share.make_demand(9.0)
+        share = roster.HostShare(demand.sequence, length, 60.0, 0.0)
+        evidence._share.apply_share(share, 9.0)
+        for number in range(30):
+            now = 10.0 + number / 10
+            if number == 5:
+                leader.report("a", 0, 30, now)
+                leader.report("b", 0, 30, now)
+            # It is answered too often to follow the others.
+            evidence.note_answer(leader.server, now - 0.1, now)
+            outcomes = evidence.list_outcomes(now)
+            leader.registry.record_outcomes("c", outcomes, now)
+            suspects = leader.list_suspects(now)
+            evidence.apply_suspects("leader", suspects, now)
+            assert evidence.count_out() == 0
+            if number == 10:
+                assert suspects
+        listed = leader.list_suspects(13.2)
+        assert bool(listed) == is_listed, (length, listed)
+
+
 @behave.then(
     "a host without the setting, or with fewer servers than it says, reports nothing"
 )
@@ -330,3 +385,105 @@
         assert evidence.list_outcomes(10.0) == ()
         assert evidence.apply_suspects("leader", [suspect], 10.0) == ()
         assert not evidence.list_out([server] * 3, 10.0)
+
+
+@behave.given("a deployment of three gateways that share evidence about four servers")
+def start_fleet(context):
+    context.fleet = fleet = forwardingfleet.Fleet(
+        gateways=3, evidence={"from_servers": 4}
+    )
+    context.closers.append(fleet.close)
+    fleet.start(servers=4)
+    fleet.put_table(1)
+    fleet.wait_until_served()
+    for gateway in range(3):
+        processes.wait_until(
+            lambda gateway=gateway: ask(fleet, gateway) == 200, "a gateway serves"
+        )
+    # A gateway that was just answered there does not follow the others' findings.
+    time.sleep(1.5 * serverevidence.RECENT_S)
+
+
+def ask(fleet, gateway):
+    return fleet.request("/safe/a", f"e-{time.monotonic()}", gateway=gateway).status
+
+
+@behave.when("two gateways meet failures of a server whose announcements go on")
+def meet_failures(context):
+    fleet = context.fleet
+    fleet.servers[0].fails = True
+    # Each of them meets at most two failures: none takes the server out on its own.
+    for gateway in (0, 1):
+        before = len(fleet.servers[0].arrivals)
+        processes.wait_until(
+            lambda gateway=gateway, before=before: (
+                ask(fleet, gateway) and len(fleet.servers[0].arrivals) > before
+            ),
+            "a gateway meets a failure",
+        )
+    time.sleep(0.5)
+
+
+def find_leader(fleet):
+    """Returns the latest term and the name of its leader."""
+    elected = []
+    for name in fleet.processes:
+        for line in (fleet.folder / f"{name}.log").read_text().splitlines():
+            if "became the log's leader" in line:
+                elected.append((json.loads(line)["term"], name))
+    return max(elected)
+
+
+@behave.when("the log's leader is killed while two gateways go on")
+def kill_leader(context):
+    context.term, leader = find_leader(context.fleet)
+    context.fleet.stop(leader)
+
+
+@behave.then("the third gateway soon sends it nothing but probes again")
+def check_third_again(context):
+    fleet = context.fleet
+
+    def is_known():
+        for _ in range(20):
+            ask(fleet, 0)
+            ask(fleet, 1)
+        time.sleep(0.5)
+        has_leader = find_leader(fleet)[0] > context.term
+        return count_sent_by_third(fleet) <= 2 and has_leader
+
+    processes.wait_until(is_known, "the third gateway knows of the failures")
+    # It knows from the new leader, not from what the old one said.
+    time.sleep(serverevidence.OUTCOMES_S)
+    is_known()
+    assert count_sent_by_third(fleet) <= 2
+
+
+def count_sent_by_third(fleet):
+    before = len(fleet.servers[0].arrivals)
+    for _ in range(60):
+        assert ask(fleet, 2) == 200
+    return len(fleet.servers[0].arrivals) - before
+
+
+@behave.then("the third gateway sends it nothing but probes")
+def check_third(context):
+    met = count_sent_by_third(context.fleet)
+    assert met <= 2, met
+
+
+@behave.then("all gateways use it again once it answers")
+def check_used_again(context):
+    fleet = context.fleet
+    fleet.servers[0].fails = False
+
+    def is_used():
+        counts = []
+        for gateway in range(3):
+            before = len(fleet.servers[0].arrivals)
+            for _ in range(16):
+                ask(fleet, gateway)
+            counts.append(len(fleet.servers[0].arrivals) - before)
+        return min(counts) >= 2
+
+    processes.wait_until(is_used, "all gateways use the server again")
--- a/tests/support/forwardingfleet.py
+++ b/tests/support/forwardingfleet.py
@@ -36,6 +36,7 @@
         self.leaked_keys = 0
         self.break_at_event = 0
         self.refuses = False
+        self.fails = False
         self.fails_on_resume = False
         self.is_unframed = False
         self.crashes = 0
@@ -157,7 +158,7 @@
             )
             return
         self.record_run(request_id, target, fields)
-        if self.is_unresponsive:
+        if self.is_unresponsive or self.answers_failure(writer):
             return
         if await self.crashes_on(target, fields, writer):
             self.crash()
@@ -193,6 +194,11 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         writer.write(b"0\r\n\r\n")
 
+    def answers_failure(self, writer):
+        if self.fails:
+            writer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+        return self.fails
+
     async def crashes_on(self, target, fields, writer):
         """Returns whether beginning to write this answer crashes the server."""
         if target.endswith("/poison"):
@@ -218,8 +224,12 @@
     The first three log hosts are the seeds.
     """
 
-    def __init__(self, gateways=2, log_hosts=3, tolerated_host_losses=1, repeats=None):
+    def __init__(
+        self, gateways=2, log_hosts=3, tolerated_host_losses=1, repeats=None,
+        **gateway_settings,
+    ):  # fmt: skip
         self.repeats = repeats
+        self.gateway_settings = gateway_settings
         self.tolerated_host_losses = tolerated_host_losses
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="lycheegauge-test-"))
         self.processes = {}
@@ -275,6 +285,7 @@
         if self.repeats is not None:
             part["repeats"] = self.repeats
         part.update(self.make_gateway_settings(host))
+        part.update(self.gateway_settings)
         path = self.write_settings(name, {"gateway": part})
         return self.start_process(name, "gateway", "--settings", path)
 
