Don't count a probe that is not due against a server

explain-route listed every server as breaking the rule that prefers servers due for a probe, since nearly none is.

--- a/src/lycheegauge/internal/coordination/serverselection.py
+++ b/src/lycheegauge/internal/coordination/serverselection.py
@@ -101,11 +101,14 @@
         condition: Tells whether a server meets it.
         refusal: Why a request is refused if no server meets it; ``None`` for a
             preference.
+        is_exceptional: Whether few servers meet it, so that breaking it says nothing
+            against a server.
     """
 
     name: str
     condition: Condition
     refusal: work.RefusalReason | None = None
+    is_exceptional: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,12 +140,14 @@
 
 
 def register_rule(
-    name: str, refusal: work.RefusalReason | None = None
+    name: str,
+    refusal: work.RefusalReason | None = None,
+    is_exceptional: bool = False,
 ) -> collections.abc.Callable[[Condition], Condition]:
     """Registers a rule behind all that are registered already."""
 
     def register(condition: Condition) -> Condition:
-        _rules.append(Rule(name, condition, refusal))
+        _rules.append(Rule(name, condition, refusal, is_exceptional))
         return condition
 
     return register
@@ -193,7 +198,7 @@
     return candidate.allows_cold
 
 
-@register_rule("is due for a probe")
+@register_rule("is due for a probe", is_exceptional=True)
 def _is_due_for_probe(candidate: Candidate) -> bool:
     return candidate.is_probe_due
 
@@ -210,7 +215,11 @@
 
 def list_broken_rules(candidate: Candidate) -> list[str]:
     """Lists the rules that a server breaks, by name."""
-    return [rule.name for rule in _rules if not rule.condition(candidate)]
+    return [
+        rule.name
+        for rule in _rules
+        if not rule.is_exceptional and not rule.condition(candidate)
+    ]
 
 
 def select_server(
