Hold a pass as far ahead as arming lately took

Each pause over 0.12 s makes every running stream late. The hold is now 1.3 times the longest arming of the last 10 s ahead, and at least 0.67 s while orders go unanswered.

--- a/src/lycheegauge/internal/daemons/relayedgroup.py
+++ b/src/lycheegauge/internal/daemons/relayedgroup.py
@@ -11,6 +11,7 @@
 from lycheegauge.internal.coordination.groups import (
     copytiming,
     groupstate,
+    holdahead,
     mapplanning,
     mapswitch,
     partdemand,
@@ -145,6 +146,7 @@
         self._record: switchrecord.SwitchRecord | None = None
         self._packed: tuple[int, bytes] = (mapswitch.NONE, b"")
         self._copy_wait_s = COPY_WAIT_MAX_S
+        self._armings = holdahead.ArmingHistory()
 
     def close(self) -> None:
         """Ends the planning under way."""
@@ -330,9 +332,12 @@
         hold_ahead_s = max(HOLD_AHEAD_MIN_S, HOLD_AHEAD_ROUNDS * round_s)
         # Current reports are needed after the order to hold and after arming.
         hold_ahead_s += 2 * lag_s
-        if clock.read_clock() - self.state.unanswered_at < RECENTLY_UNANSWERED_S:
+        now = clock.read_clock()
+        is_unreliable = now - self.state.unanswered_at < RECENTLY_UNANSWERED_S
+        if is_unreliable:
             # A silent rank is read and ordered again before the pass is due.
             hold_ahead_s += self._around.fanout.parts.compute_limit_s() + round_s
+        hold_ahead_s = self._armings.choose_hold_ahead(hold_ahead_s, is_unreliable, now)
         self.state.switch.set_hold_ahead(
             groupstate.choose_hold_ahead_steps(
                 hold_ahead_s, self.state.pass_s, HOLD_AHEAD_MIN_S
@@ -567,6 +572,8 @@
             self._record.enter(state.switch.phase, now)
         if state.switch.phase is state.logged_phase:
             return
+        if state.logged_phase is mapswitch.Phase.ARMING:
+            self._armings.note_arming(now - state.logged_phase_at, now)
         loguru.logger.info(
             "phase of an expert map switch",
             group=self.name,
--- a/tests/properties/relayedmaps.feature
+++ b/tests/properties/relayedmaps.feature
@@ -68,3 +68,9 @@
   Scenario: Relays work over real connections, also beside an old agent
     When 9 ranks are read and armed over real connections, one with an old agent
     Then all states and sums of counts arrive, and all others answer with the state
+
+  # Guards against a group that stands still because its held pass is due before all
+  # ranks are armed, or before a lost release was sent again.
+  Scenario: A pass is held as far ahead as arming lately took (orders unanswered)
+    Then a pass is held for the longest arming of the last 10 seconds and a margin
+    And further ahead while orders go unanswered
--- a/tests/steps/relayedmaps.py
+++ b/tests/steps/relayedmaps.py
@@ -14,6 +14,7 @@
 from lycheegauge.internal.coordination import rosterregistry
 from lycheegauge.internal.coordination.groups import (
     evensplit,
+    holdahead,
     layerplans,
     partdemand,
 )
@@ -426,3 +427,22 @@
     for number, reply in enumerate(replies):
         armed = number not in unanswered
         assert (reply.report is not None and reply.report.armed_step == 9) == armed
+
+
+@behave.then(
+    "a pass is held for the longest arming of the last 10 seconds and a margin"
+)
+def check_hold_ahead(context):
+    history = context.armings = holdahead.ArmingHistory()
+    assert history.choose_hold_ahead(0.12, False, 1.0) == 0.12
+    for at, duration_s in ((1.0, 0.6), (5.0, 0.3), (6.0, 0.06)):
+        history.note_arming(duration_s, at)
+    assert history.choose_hold_ahead(0.12, False, 7.0) > 0.6
+    assert 0.3 < history.choose_hold_ahead(0.12, False, 12.0) < 0.6
+    assert history.choose_hold_ahead(0.12, False, 30.0) == 0.12
+
+
+@behave.then("further ahead while orders go unanswered")
+def check_unreliable(context):
+    calm_s = context.armings.choose_hold_ahead(0.12, False, 12.0)
+    assert context.armings.choose_hold_ahead(0.12, True, 12.0) > calm_s + 0.1
