--- a/src/lycheegauge/internal/daemons/relayedgroup.py
+++ b/src/lycheegauge/internal/daemons/relayedgroup.py
@@ -21,6 +21,7 @@
     engineroutes,
     layerplanning,
     rankfanout,
+    switchlog,
     workmeter,
 )
 from lycheegauge.internal.protocol import maporders, packedmaps, routetables
@@ -54,14 +55,6 @@
 """Time since all ranks answered in one round for which silent ranks are not called at
 once while no switch is under way, in seconds."""
 
-SLOW_PACE = 1.5
-"""Pace from which a rank is reported as slow."""
-
-SLOW_LOGGED_MAX = 8
-"""Slow ranks that a log line names."""
-
-LATE_LOG_INTERVAL_S = 1.0
-
 COUNTS_DUE_FRACTION = 0.9
 """Counts are read again after this fraction of the poll interval: polls are not exactly
 as far apart as that."""
@@ -141,9 +134,8 @@
         self._needs_all = True
         self._whole_at = -math.inf
         self._counts_at = -math.inf
-        self._late_logged_at = -math.inf
         self._plan_task: asyncio.Task[_Plan | None] | None = None
-        self._record: switchrecord.SwitchRecord | None = None
+        self._log = switchlog.SwitchLog(name, self.state, around.record_switch)
         self._packed: tuple[int, bytes] = (mapswitch.NONE, b"")
         self._copy_wait_s = COPY_WAIT_MAX_S
         self._armings = holdahead.ArmingHistory()
@@ -184,9 +176,12 @@
         orders = await self._decide(engines, experts, target_gap_s)
         if orders:
             await self._send(orders, engines)
-        self._log_phase()
+        self._note_arming()
+        self._log.log_phase(self._around.fanout.parts.round_s)
         if longest_gap_s is not None and longest_gap_s > target_gap_s:
-            self._log_late_events(experts, longest_gap_s)
+            self._log.log_late_events(
+                self._list_reports(), experts.layers, longest_gap_s
+            )
         self._needs_all = not orders
         wait_s = self._choose_wait(bool(orders))
         if self.state.switch.is_idle and not orders:
@@ -290,7 +285,7 @@
         as_of = {item.report.rank: item.as_of for item in self._known.values()}
         now = clock.read_clock()
         if state.update_placements(reports, experts):
-            self._log_map_in_force(now)
+            self._log.log_map_in_force(now)
         self._set_hold_ahead()
         if groupstate.have_paces_changed(
             state.planned_paces, groupstate.list_paces(reports)
@@ -345,6 +340,14 @@
             hold_ahead_s,
         )
 
+    def _note_arming(self) -> None:
+        """Records how long arming took when it has just ended."""
+        state, now = self.state, clock.read_clock()
+        if state.logged_phase is mapswitch.Phase.ARMING and (
+            state.switch.phase is not mapswitch.Phase.ARMING
+        ):
+            self._armings.note_arming(now - state.logged_phase_at, now)
+
     # Planning.
 
     def _plan_ahead(
@@ -408,7 +411,7 @@
         )
         state.target = plan.placements
         skew_after = plan.slowest / planned.mean_load
-        self._record = switchrecord.SwitchRecord(
+        self._log.record = switchrecord.SwitchRecord(
             planned.plan_s, planned.skew_before, skew_after, plan.copies, now
         )
         loguru.logger.info(
@@ -540,7 +543,7 @@
         else:
             self._known.pop(engine, None)
 
-    # Timing and logs.
+    # Timing.
 
     def _choose_wait(self, has_orders: bool) -> float:
         """Chooses the time until the next poll, in seconds."""
@@ -564,76 +567,3 @@
         return min(
             RELEASED_WAIT_MAX_S, max(RELEASED_WAIT_MIN_S, passes * self.state.pass_s)
         )
-
-    def _log_phase(self) -> None:
-        state = self.state
-        now = clock.read_clock()
-        if self._record is not None:
-            self._record.enter(state.switch.phase, now)
-        if state.switch.phase is state.logged_phase:
-            return
-        if state.logged_phase is mapswitch.Phase.ARMING:
-            self._armings.note_arming(now - state.logged_phase_at, now)
-        loguru.logger.info(
-            "phase of an expert map switch",
-            group=self.name,
-            phase=state.switch.phase.value,
-            previous=state.logged_phase.value,
-            previous_s=round(now - state.logged_phase_at, 3),
-            round_s=round(self._around.fanout.parts.round_s, 3),
-            step=state.step,
-        )
-        state.logged_phase, state.logged_phase_at = state.switch.phase, now
-
-    def _log_late_events(
-        self, experts: routetables.ExpertLayout, longest_gap_s: float
-    ) -> None:
-        """Logs why passes are long, at most once a second."""
-        now = clock.read_clock()
-        loads = self._demand.get_layer_loads(experts.layers)
-        if now < self._late_logged_at + LATE_LOG_INTERVAL_S or not loads:
-            return
-        self._late_logged_at = now
-        reports = self._list_reports()
-        paces = groupstate.list_paces(reports)
-        skew = None
-        if self.state.placements and len(paces) == len(self.state.placements[0]):
-            # With equal paces the skew shows the map alone.
-            slowest = groupstate.sum_slowest_times(
-                self.state.placements, loads, [1.0] * len(paces)
-            )
-            skew = round(slowest * len(paces) / max(1.0, self._demand.total), 3)
-        slow = sorted(r for r, item in reports.items() if item.pace > SLOW_PACE)
-        loguru.logger.info(
-            "events are late",
-            group=self.name,
-            longest_gap_ms=round(longest_gap_s * 1000, 1),
-            pass_ms=round(self.state.pass_s * 1000, 1),
-            version=self.state.version,
-            skew=skew,
-            slow_ranks=len(slow),
-            slowest_pace=max(paces, default=1.0),
-            first_slow=slow[:SLOW_LOGGED_MAX],
-            phase=self.state.switch.phase.value,
-        )
-
-    def _log_map_in_force(self, now: float) -> None:
-        version = self.state.version
-        is_own = version == self.state.switch.target_version
-        record, self._record = self._record, None
-        if record is None or not is_own:
-            loguru.logger.info("expert map in force", group=self.name, version=version)
-            return
-        record.enter(mapswitch.Phase.IDLE, now)
-        summary = record.summarise()
-        loguru.logger.info(
-            "expert map in force",
-            group=self.name,
-            version=version,
-            skew_before=summary.skew_before,
-            skew_after=summary.skew_after,
-            copies=summary.copies,
-            **{f"{name}_s": seconds for name, seconds in summary.phases_s.items()},
-        )
-        for name, seconds in summary.phases_s.items():
-            self._around.record_switch(name, seconds)
--- a/src/lycheegauge/internal/daemons/relayedmaps.py
+++ b/src/lycheegauge/internal/daemons/relayedmaps.py
@@ -16,6 +16,7 @@
     mapcoordination,
     rankfanout,
     relayedgroup,
+    switchlog,
     workmeter,
 )
 from lycheegauge.internal.protocol import (
@@ -236,5 +237,5 @@
         roster.ServerPace(server.name, group.known[server.address].report.pace)
         for server in members
         if server.address in group.known
-        and group.known[server.address].report.pace > relayedgroup.SLOW_PACE
+        and group.known[server.address].report.pace > switchlog.SLOW_PACE
     ]
