Go on sending load updates for a second after a crowded time

Cause: in trials with admission turned on for the process tests, an unsafe request was refused since the retry budget was spent: 11 repeats in 5 requests, as each one went to both refusing servers first. Only hosts in a crowded time send load updates, so the last counts of one stay with the other hosts until they expire, and the server that had served looks busy for a second. That this was the cause is likely but not shown. Change: hosts go on sending updates for the lifetime of an update.

--- a/src/lycheegauge/internal/daemons/streamadmissions.py
+++ b/src/lycheegauge/internal/daemons/streamadmissions.py
@@ -13,6 +13,7 @@
 from lycheegauge.internal.coordination import (
     forwardrules,
     hostshares,
+    loadnews,
     rosterview,
     routeindex,
     serverchoice,
@@ -49,6 +50,10 @@
 CROWDED_FRACTION = 0.5
 """Fraction of the capacity above which hosts tell each other about each change."""
 
+CROWDED_HOLD_S = loadnews.NEWS_LIFETIME_S
+"""For how long updates go on when the streams become fewer, in seconds. The last counts
+of a crowded time would otherwise be used by the other hosts until they expire."""
+
 STOPPING_RETRY_AFTER_S = 0.05
 
 REASONS = {
@@ -115,6 +120,7 @@
         self._numbers = itertools.count(1)
         self._tickets: dict[int, Ticket] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._crowded_until = -math.inf
         self._pull_interval_s = part.roster.pull_interval_s
         if part.admission.from_servers:
             self._register_gauges()
@@ -338,14 +344,14 @@
     def is_crowded(self, now: float) -> bool:
         """Tells whether the other hosts need to know about each change here."""
         if self._tickets:
-            return True
+            self._crowded_until = now + CROWDED_HOLD_S
         for service in self._services.values():
             view = self._make_view(service, now)
             service.gate.observe(view, now)
             load, capacity = service.gate.measure(view, now)
             if load.open_streams > CROWDED_FRACTION * capacity.limit:
-                return True
-        return False
+                self._crowded_until = now + CROWDED_HOLD_S
+        return now < self._crowded_until
 
     def close(self) -> None:
         """Stops looking at waiting requests."""
