Name the free slots that the zone preference needs, and reword explanations

The margin of free slots in the host's zone was the tolerance itself, so a larger tolerance kept fewer answers in the zone.

--- a/src/lycheegauge/internal/coordination/routeexplanation.py
+++ b/src/lycheegauge/internal/coordination/routeexplanation.py
@@ -142,9 +142,7 @@
     order = (CHOSEN, ELIGIBLE, LEFT_OUT)
     explained.sort(key=lambda item: (order.index(item.verdict), item.server))
     explained += [
-        ServerExplanation(
-            server.name, server.availability_zone, LEFT_OUT, (f"not: {reason}",)
-        )
+        ServerExplanation(server.name, server.availability_zone, LEFT_OUT, (reason,))
         for server, reason in listed
     ]
     return tuple(explained)
--- a/src/lycheegauge/internal/coordination/serverselection.py
+++ b/src/lycheegauge/internal/coordination/serverselection.py
@@ -29,6 +29,11 @@
 SLOW_PACE = 1.5
 """Pace from which a server counts as slow; smaller changes of it are not reported."""
 
+ZONE_FREE_MIN = 0.25
+"""Fraction of its slots that must be free at a server that is preferred for its zone.
+Other hosts of the zone may have taken some since the last news, and with a wave in one
+zone the choice must leave it before streams wait."""
+
 SERVERS_SAMPLED_WITH_NEWS = 5
 """Servers compared per choice while there are updates from all hosts. They are some
 hundredths of a second old, so more servers can be compared."""
@@ -276,7 +281,8 @@
         return _choose_least_loaded(candidates, count, random_source)
     near = _choose_least_loaded(in_zone, count, random_source)
     far = _choose_least_loaded(elsewhere, count, random_source)
-    if near.busy <= 1.0 - tolerance and near.busy - far.busy <= tolerance:
+    is_free = near.busy <= 1.0 - ZONE_FREE_MIN
+    if is_free and near.busy - far.busy <= tolerance:
         return near
     return min(near, far, key=_rank_load)
 
--- a/src/lycheegauge/internal/daemons/routeexplainer.py
+++ b/src/lycheegauge/internal/daemons/routeexplainer.py
@@ -208,11 +208,11 @@
             if server.service != service or server.name in usable:
                 continue
             if server.leaving:
-                yield server, "stays"
+                yield server, "leaves"
             elif server.availability_zone in view.restrictions.zones_out:
-                yield server, "its zone is in service"
+                yield server, "its zone is out of service"
             else:
-                yield server, "present by the log"
+                yield server, "the log has recorded its departure"
 
 
 def _explain_refusal(
