--- a/tests/properties/streamadmission.feature
+++ b/tests/properties/streamadmission.feature
@@ -29,6 +29,11 @@
     And a request that returns goes ahead of new ones of its level
     And the queue is bounded by requests and by bytes of their bodies
 
+  # Guards against a queue in which all requests wait and are late after a burst.
+  Scenario: Late requests don't make new ones late (end of a flash crowd)
+    Then a request that can still be in time goes ahead of late ones of its level
+    And a late request starts when no other one waits
+
   Scenario: Refusals are truthful and spread
     Then the time to retry is at most a third of the time left and varies by half
     And a request that can't wait long enough is refused at once
