Split the forwarder and the admission of a request along their jobs

The forwarder now joins objects with one job each, and callers and tests use these directly: - serverrecords: sent, ended, answered and failed requests, statements, suspects and memories of servers (180 lines) - serverchooser: the choice of a server and the wait before it (145) - refusals (coordination): what a refused caller is told; pure functions (90) - declaredservices (coordination): slots, work models and expected sizes by the route table in force (80) - crashprobes: probes after aborted attempts (107) - logupdates and startwait: updates from the log, and the requests that wait for them at the start (103 and 56) - hostload: the load that other hosts and operators are told of (78) - requestadmission: everything before the first attempt of a request (213); responseforwarding takes the reading of discarded bodies.

No behaviour changes are meant; tests changed only the names of the objects that they call.

--- /dev/null
+++ b/src/lycheegauge/internal/daemons/crashprobes.py
@@ -0,0 +1,107 @@
+"""Finds out whether servers crashed, after attempts there were aborted."""
+
+import asyncio
+
+import loguru
+
+from lycheegauge import errors
+from lycheegauge.internal.coordination import (
+    crashdetector,
+    crashes,
+    declaredservices,
+    partdetector,
+    rosterview,
+    serverchoice,
+)
+from lycheegauge.internal.protocol import changes, roster
+from lycheegauge.internal.transport import clock, upstream
+
+
+class CrashProbes:
+    """Collects evidence of crashes and probes the servers of aborted attempts.
+
+    Args:
+        view: The roster.
+        services: The declared services.
+        choice: The open requests of the servers.
+        detector: Decides which servers crashed and which requests are suspected.
+        pool: The connections to the servers.
+    """
+
+    def __init__(
+        self,
+        view: rosterview.RosterView,
+        services: declaredservices.DeclaredServices,
+        choice: serverchoice.ServerChoice,
+        detector: crashdetector.CrashDetector,
+        pool: upstream.ConnectionPool,
+    ) -> None:
+        self._view = view
+        self._services = services
+        self._choice = choice
+        self._detector = detector
+        self._pool = pool
+        self._probes: dict[str, asyncio.Task[None]] = {}
+
+    def record_broken_attempt(
+        self, server: roster.ServerListing, fingerprint: str, parts: tuple[str, ...]
+    ) -> None:
+        """Records an aborted attempt and probes whether its server is gone.
+
+        Args:
+            server: The attempt's server.
+            fingerprint: The digest of the request.
+            parts: The shared parts of its prompt, if they may have crashed the server.
+        """
+        now = clock.read_clock()
+        suspect = None
+        if parts:
+            slots = max(1, self._services.count_slots(server))
+            open_requests = self._choice.estimate(server, slots, now) * slots
+            suspect = partdetector.Suspect(parts, open_requests)
+        self._detector.record_broken_attempt(server, fingerprint, now, suspect)
+        if server.incarnation in self._probes:
+            return
+        task = asyncio.create_task(self._probe(server))
+        self._probes[server.incarnation] = task
+        task.add_done_callback(lambda _: self._probes.pop(server.incarnation, None))
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Tells whether a request must not run, since it crashed servers before."""
+        return self._detector.get_verdict(fingerprint) is crashes.Verdict.REFUSED
+
+    def detect_restarts(self) -> None:
+        """Compares the roster with the servers of aborted attempts."""
+        listed, now = self._view.servers.values(), clock.read_clock()
+        for report in self._detector.detect_restarts(listed, now):
+            _log_crash(report, "it restarted")
+
+    async def close(self) -> None:
+        """Cancels all probes."""
+        probes = list(self._probes.values())
+        for probe in probes:
+            probe.cancel()
+        await asyncio.gather(*probes, return_exceptions=True)
+
+    async def _probe(self, server: roster.ServerListing) -> None:
+        """Checks once for all attempts aborted at a server whether it still listens."""
+        try:
+            connection = await self._pool.connect(server.incarnation, server.address)
+        except errors.PeerUnreachableError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                now = clock.read_clock()
+                report = self._detector.handle_refused_connection(server, now)
+                if report is not None:
+                    _log_crash(report, "its port is closed")
+            return
+        self._pool.release(server.incarnation, connection)
+
+
+def _log_crash(report: changes.ReportCrash, evidence: str) -> None:
+    loguru.logger.warning(
+        "a backend server crashed while it ran requests",
+        server=report.backend_server,
+        born_ms=report.boot_id,
+        evidence=evidence,
+        fingerprints=report.fingerprints,
+    )
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -10,18 +10,17 @@
     forwardrules,
     headers,
     memorylimits,
+    refusals,
     repeatbudget,
-    requestwork,
-    routeindex,
 )
 from lycheegauge.internal.daemons import (
     forwarder,
     hedgedattempt,
+    requestadmission,
     requestrecord,
     responseforwarding,
-    streamadmissions,
 )
-from lycheegauge.internal.protocol import bounds, calls, roster, routetables, work
+from lycheegauge.internal.protocol import roster, routetables, work
 from lycheegauge.internal.transport import clock, ingress, upstream
 
 REDIRECT_MIN = 300
@@ -31,29 +30,7 @@
 attempts of the route, since a refused request is not run, but each further try still
 spends the retry budget."""
 
-DISCARD_MAX_BYTES = 65_536
-DISCARD_TIMEOUT_S = 0.05
-"""How much of a body that is not forwarded is read, so that its connection can be
-reused. A server may send it for as long as the connection is open."""
-
 CONNECT_ATTEMPTS_MAX = 3
-START_WAIT_MAX_S = 1.8
-"""Maximum wait of a request for a host that is starting, in seconds. A host that
-started together with all others usually knows the table and the servers by then. Many
-callers of streams leave after two seconds without an event, so a request that would
-wait for longer is refused in time, with the time after which to retry."""
-
-START_WAIT_DIVISOR = 2
-"""A request waits for a starting host at most its time to the deadline divided by
-this."""
-
-TRANSIENT_REASONS = (
-    work.RefusalReason.NO_ROUTE_TABLE,
-    work.RefusalReason.LEASE_EXPIRED,
-    work.RefusalReason.NO_BACKEND_SERVER,
-)
-"""Reasons for a refusal that the next pull may remove."""
-
 PRIORITY_MAX = 9
 """The least urgent priority that a backend server is sent."""
 
@@ -66,19 +43,12 @@
         self._exchange = exchange
         self._names = shared.dialect.headers
         self._request_id = exchange.headers.get(self._names.request_id, "")
-        self._route: routetables.Route | None = None
-        self._service = ""
-        self._organisation = ""
-        self._priority: int | None = None
-        self._deadline = math.inf
-        self._ticket: streamadmissions.Ticket | None = None
+        self._admission = requestadmission.RequestAdmission(shared, exchange)
         self._tried_servers: set[str] = set()
-        self._size: requestwork.ExpectedSize | None = None
         self._runs = 0
         self._refusals = 0
         self._may_have_run = False
         self._copy_runs = 0
-        self._parts: tuple[str, ...] = ()
         self._sent_at = math.inf
         self._record = requestrecord.RequestRecord(
             shared, self._request_id, exchange.arrived_at
@@ -95,7 +65,7 @@
             await self._run()
         except asyncio.CancelledError:
             if self._exchange.ending is None:
-                self._record.write_cancelled(self._name_route())
+                self._record.write_cancelled(self._admission.name_route())
             self._exchange.abort()
             raise
         except Exception as error:
@@ -104,146 +74,41 @@
             self._end(self._give_up(work.RefusalReason.OUTCOME_UNKNOWN, detail))
             raise
         finally:
-            self._shared.admission.leave(self._ticket)
+            self._admission.leave()
 
     async def _run(self) -> None:
-        refusal = await self._admit_or_wait()
-        if refusal is None:
-            self._ticket = self._make_ticket()
-            refusal = await self._shared.admission.enter(self._ticket)
+        refusal = await self._admission.enter()
         if refusal is not None:
             self._send_refusal(refusal)
             return
         try:
-            async with asyncio.timeout(max(0.0, self._remaining_s)):
+            async with asyncio.timeout(max(0.0, self._admission.remaining_s)):
                 given_up = await self._try_servers()
         except TimeoutError:
             given_up = self._give_up(work.RefusalReason.DEADLINE_EXCEEDED)
         if given_up is not None:
             self._end(given_up)
 
-    # Admission.
-
-    async def _admit_or_wait(self) -> forwardrules.GivenUp | None:
-        """Admits the request; a host that has just started first waits for updates."""
-        share_s = self._read_time_left() / START_WAIT_DIVISOR
-        until = self._exchange.arrived_at + min(share_s, START_WAIT_MAX_S)
-        while True:
-            refusal = self._admit()
-            if refusal is None or refusal.reason not in TRANSIENT_REASONS:
-                return refusal
-            if not await self._shared.wait_for_update(until - clock.read_clock()):
-                return refusal
-
-    def _admit(self) -> forwardrules.GivenUp | None:
-        shared = self._shared
-        if self._exchange.is_body_refused:
-            detail = "too many bytes are held for other requests"
-            return shared.refuse(work.RefusalReason.MEMORY_FULL, detail)
-        if shared.refuses_requests:
-            return shared.refuse(work.RefusalReason.STOPPING)
-        if shared.index is None:
-            return shared.refuse(work.RefusalReason.NO_ROUTE_TABLE)
-        if not shared.view.lease.allows_start(clock.read_clock()):
-            return shared.refuse(work.RefusalReason.LEASE_EXPIRED)
-        exchange = self._exchange
-        host = exchange.headers.get("Host", "")
-        self._route = shared.index.find_route(host, exchange.target)
-        if self._route is None:
-            return shared.refuse(work.RefusalReason.UNKNOWN_ROUTE)
-        refusal = self._check_key(shared.index)
-        if refusal is not None:
-            return refusal
-        if shared.crashdetector.has_suspects and shared.is_quarantined(
-            self._digest_request()
-        ):
-            return shared.refuse(work.RefusalReason.QUARANTINED)
-        self._service = routeindex.choose_service(self._route, shared.random_source)
-        self._size = shared.expect_size(self._service, exchange.headers)
-        self._parts = self._list_parts()
-        if self._find_refused_part():
-            return self._refuse_part()
-        self._set_deadline(self._route)
-        if not shared.has_server(self._service):
-            return shared.refuse(work.RefusalReason.NO_BACKEND_SERVER)
-        shared.note_request(self._service)
-        return None
-
-    def _make_ticket(self) -> streamadmissions.Ticket | None:
-        """Creates the request's ticket for the admission of streams, if it is used."""
-        assert self._route is not None
-        if not self._shared.admission.is_used(self._service):
-            return None
-        fields = self._exchange.headers
-        size = self._shared.dialect.parse_request_size(
-            fields.get(self._names.token_counts, ""),
-            fields.get(self._names.length_hint, ""),
-        )
-        return self._shared.admission.make_ticket(
-            self._service,
-            self._route,
-            self._priority,
-            self._organisation,
-            size,
-            (self._exchange.arrived_at, self._deadline),
-            len(self._exchange.body),
-            self._digest_request,
-        )
-
-    def _list_parts(self) -> tuple[str, ...]:
-        """Lists the parts that the prompt shares with others, by service."""
-        header = self._exchange.headers.get(self._names.prompt_parts, "")
-        ids = self._shared.dialect.parse_prompt_parts(header)
-        return tuple(f"{self._service}/{part}" for part in ids)
-
-    def _find_refused_part(self) -> str:
-        return self._shared.crashdetector.parts.find_refused(self._parts)
-
-    def _refuse_part(self) -> forwardrules.GivenUp:
-        detail = f"part {self._find_refused_part()} of the prompt crashed servers"
-        return self._give_up(work.RefusalReason.QUARANTINED, detail)
-
-    def _check_key(self, index: routeindex.RouteIndex) -> forwardrules.GivenUp | None:
-        assert self._route is not None
-        if not index.table.needs_keys:
-            return None
-        header = self._exchange.headers.get("Authorization", "")
-        holder = index.find_holder(self._shared.dialect.parse_api_key(header))
-        if holder is not None:
-            self._organisation = holder.organisation
-            self._priority = holder.priority
-        elif not self._route.open_to_all:
-            return self._shared.refuse(work.RefusalReason.UNKNOWN_KEY)
-        return None
-
-    def _digest_request(self) -> str:
-        """Returns a digest that identifies the request when it is sent again."""
-        exchange = self._exchange
-        place = f"{self._organisation} {exchange.method} {exchange.target}"
-        return calls.digest_content(place, exchange.body)
-
-    def _set_deadline(self, route: routetables.Route) -> None:
-        left_s = min(route.timeout_s, self._read_time_left())
-        self._deadline = self._exchange.arrived_at + left_s
-
-    def _read_time_left(self) -> float:
-        """Returns how long the caller waits, in seconds; infinite if not stated."""
-        header = self._exchange.headers.get(self._names.time_left_ms, "")
-        return bounds.parse_duration_ms(header)
+    @property
+    def _route(self) -> routetables.Route:
+        assert self._admission.route is not None
+        return self._admission.route
 
     @property
-    def _remaining_s(self) -> float:
-        return self._deadline - clock.read_clock()
+    def _service(self) -> str:
+        return self._admission.service
 
     # Attempts.
 
     async def _try_servers(self) -> forwardrules.GivenUp | None:
         """Tries servers until one responds; returns the reason if none did."""
-        assert self._route is not None
         connect_failures = 0
         while True:
-            chosen = self._shared.choose_server(
-                self._service, self._tried_servers, self._size, self._may_probe
+            chosen = self._shared.chooser.choose(
+                self._service,
+                self._tried_servers,
+                self._admission.size,
+                self._may_probe,
             )
             if isinstance(chosen, forwardrules.GivenUp):
                 if self._may_have_run:
@@ -268,7 +133,7 @@
                 # This process may have been paused while it connected.
                 self._shared.pool.release(chosen.incarnation, connection)
                 return self._give_up(work.RefusalReason.LEASE_EXPIRED)
-            if not self._shared.may_send(chosen):
+            if not self._shared.chooser.may_send(chosen):
                 # Its answer to another request came while this one connected.
                 self._shared.pool.release(chosen.incarnation, connection)
                 continue
@@ -280,7 +145,6 @@
     @property
     def _may_probe(self) -> bool:
         """Whether a failed attempt would be repeated at another server."""
-        assert self._route is not None
         repetition, attempts_max = self._route.repetition, self._route.attempts_max
         return repetition.is_idempotent and not self._runs and attempts_max > 1
 
@@ -288,13 +152,13 @@
         self, server: roster.ServerListing
     ) -> forwardrules.GivenUp | None:
         """Returns why no attempt is made at a server; charges the retry budget."""
-        assert self._route is not None
         if not self._runs + self._refusals:
-            if self._ticket is not None:
+            if self._admission.is_in_stream_admission:
                 return None
-            return self._shared.check_wait(self._route, self._service, server)
-        if self._find_refused_part():
-            return self._refuse_part()
+            return self._shared.chooser.check_wait(self._route, self._service, server)
+        crashed = self._admission.describe_refused_part()
+        if crashed:
+            return self._give_up(work.RefusalReason.QUARANTINED, crashed)
         if not self._spend_retry_budget():
             detail = self._budget.describe(clock.read_clock())
             return self._give_up(work.RefusalReason.RETRY_BUDGET_SPENT, detail)
@@ -320,7 +184,6 @@
 
     def _can_try_another_server(self, given_up: forwardrules.GivenUp) -> bool:
         """Tells whether another server may be tried after a failed attempt."""
-        assert self._route is not None
         if self._exchange.is_disconnected:
             return False
         if given_up.reason is work.RefusalReason.BACKEND_SERVERS_FULL:
@@ -335,18 +198,19 @@
         self, server: roster.ServerListing, connection: upstream.UpstreamConnection
     ) -> forwardrules.GivenUp | None:
         """Sends the request to one server; returns ``None`` once it is answered."""
-        assert self._route is not None
         shared = self._shared
         self._record.write_sent(
             server,
             self._service,
             self._runs + self._refusals + 1,
-            self._deadline,
+            self._admission.deadline,
             self._response.last_event_id,
         )
-        brought = shared.note_sent(server, self._size)
+        brought = shared.records.note_sent(server, self._admission.size)
         self._tried_servers.add(server.name)
-        self._response.begin_attempt(self._service, server.name, self._parts, brought)
+        self._response.begin_attempt(
+            self._service, server.name, self._admission.parts, brought
+        )
         is_complete = False
         sent_at = self._sent_at = clock.read_clock()
         try:
@@ -364,11 +228,11 @@
                 self._may_have_run = was_run
                 self._runs -= 1
                 self._refusals += 1
-                is_complete = await self._discard_body(connection)
+                is_complete = await responseforwarding.discard_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVERS_FULL)
             has_failed = head.status >= forwardrules.SERVER_ERROR_MIN
             if has_failed:
-                shared.note_failure(server)
+                shared.records.note_failure(server)
             is_broken = self._exchange.is_started and not (
                 responseforwarding.is_event_stream(self._route, head)
             )
@@ -377,12 +241,12 @@
             )
             if is_broken or can_repeat:
                 # A response that does not resume the stream must not become part of it.
-                is_complete = await self._discard_body(connection)
+                is_complete = await responseforwarding.discard_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED)
             await self._response.forward(self._route, head, connection)
             is_complete = True
             if not has_failed:
-                shared.note_answer(server, sent_at)
+                shared.records.note_answer(server, sent_at)
             self._note_answered(self._route, head)
             return None
         except errors.BackendServerFailedError as error:
@@ -390,17 +254,17 @@
                 self._end_delayed(str(error))
                 return None
             self._record_failure(server, str(error))
-            suspected_parts = () if self._response.is_settled else self._parts
-            shared.record_broken_attempt(
-                server, self._digest_request(), suspected_parts
+            suspected_parts = () if self._response.is_settled else self._admission.parts
+            shared.crash_probes.record_broken_attempt(
+                server, self._admission.digest_request(), suspected_parts
             )
             return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED, str(error))
         except errors.BorderError as error:
             return self._give_up(work.RefusalReason.BAD_REQUEST, str(error))
         finally:
-            shared.note_ended(server, brought)
+            shared.records.note_ended(server, brought)
             if brought is not None:
-                self._size = brought.make_rest()
+                self._admission.size = brought.make_rest()
             if is_complete:
                 shared.pool.release(server.incarnation, connection)
             else:
@@ -415,15 +279,14 @@
         self._hedging.note_answer(route, self._sent_at)
         if head.status < REDIRECT_MIN:
             self._response.note_settled(now)
-        shared.crashdetector.record_answered(self._digest_request())
+        shared.crashdetector.record_answered(self._admission.digest_request())
         served_s = now - self._sent_at - self._exchange.delayed_s
-        shared.get_forecast(self._service).note_served(served_s)
+        shared.chooser.get_forecast(self._service).note_served(served_s)
 
     async def _read_answer(
         self, server: roster.ServerListing, connection: upstream.UpstreamConnection
     ) -> hedgedattempt.Attempt:
         """Waits for an answer; if it is late, a copy at another server may answer."""
-        assert self._route is not None
         first = hedgedattempt.Attempt(server, connection)
         late_after_s = None
         if not self._exchange.is_started:
@@ -437,9 +300,9 @@
             hedgedattempt.Calls(
                 self._route,
                 self._service,
-                self._parts,
+                self._admission.parts,
                 self._tried_servers,
-                self._digest_request,
+                self._admission.digest_request,
                 self._can_repeat_elsewhere,
                 self._make_head,
                 self._count_copy,
@@ -450,7 +313,9 @@
             ),
         )
         if winner is not first:
-            self._response.begin_attempt(self._service, winner.server.name, self._parts)
+            self._response.begin_attempt(
+                self._service, winner.server.name, self._admission.parts
+            )
         return winner
 
     def _count_copy(self, change: int) -> None:
@@ -461,7 +326,6 @@
         self, server: roster.ServerListing, connection: upstream.UpstreamConnection
     ) -> upstream.ResponseHead:
         """Waits for a response; gives up a lost one if the request can be repeated."""
-        assert self._route is not None
         shared = self._shared
         if not (self._route.repetition.is_idempotent and self._can_repeat_elsewhere()):
             head = await connection.read_head()
@@ -475,24 +339,24 @@
         now = clock.read_clock()
         shared.progress.note_part(self._service, server.name, now)
         shared.crashdetector.record_alive(server, self._sent_at, now)
-        shared.note_statement(server, head)
+        shared.records.note_statement(server, head)
         return head
 
     def _make_head(self, server: roster.ServerListing) -> upstream.RequestHead:
         exchange, names = self._exchange, self._names
         overrides = {
-            names.time_left_ms: str(max(1, math.floor(self._remaining_s * 1000))),
+            names.time_left_ms: str(
+                max(1, math.floor(self._admission.remaining_s * 1000))
+            ),
             names.expected_server: server.name,
         }
-        if self._organisation:
-            overrides[names.organisation] = self._organisation
+        if self._admission.organisation:
+            overrides[names.organisation] = self._admission.organisation
         if self._response.last_event_id:
             overrides[names.last_event_id] = self._response.last_event_id
-        if self._route is not None and self._route.repetition.is_stream:
-            sent_priority = (
-                self._route.priority if self._priority is None else self._priority
-            )
-            overrides[names.priority] = str(min(PRIORITY_MAX, max(0, sent_priority)))
+        if self._route.repetition.is_stream:
+            priority = self._admission.get_priority()
+            overrides[names.priority] = str(min(PRIORITY_MAX, max(0, priority)))
         forwarded_headers = headers.make_request_headers(
             exchange.headers.get_all(),
             names,
@@ -521,38 +385,19 @@
         self._shared.choice.note_success(server.name)
 
     def _classify(self, head: upstream.ResponseHead) -> forwardrules.Verdict:
-        assert self._route is not None
         says_not_run = bool(head.get(self._names.not_run))
         return forwardrules.classify_answer(
             head.status, says_not_run, self._route.repetition
         )
 
     def _can_repeat_elsewhere(self) -> bool:
-        assert self._route is not None
         return self._runs < self._route.attempts_max and len(self._tried_servers) < len(
             self._shared.view.servers
         )
 
-    async def _discard_body(self, connection: upstream.UpstreamConnection) -> bool:
-        """Reads and discards a small rest of a response that is not forwarded.
-
-        Returns:
-            Whether the response has ended, so that its connection can be reused.
-        """
-        discarded_bytes = 0
-        try:
-            async with asyncio.timeout(DISCARD_TIMEOUT_S):
-                while part := await connection.read_chunk():
-                    discarded_bytes += len(part)
-                    if discarded_bytes > DISCARD_MAX_BYTES:
-                        return False
-        except (TimeoutError, errors.BackendServerFailedError):
-            return False
-        return True
-
     def _record_failure(self, server: roster.ServerListing, detail: str) -> None:
         out_s = self._shared.choice.note_failure(server.name, clock.read_clock())
-        self._shared.note_failure(server)
+        self._shared.records.note_failure(server)
         self._record.write_failed(server, self._may_have_run, detail, out_s)
 
     # Endings.
@@ -560,7 +405,7 @@
     def _note_ending(self) -> None:
         """Logs that the exchange was ended because of the bound on the bytes held."""
         assert self._exchange.ending is not None
-        self._record.write_ended(self._name_route(), self._exchange.ending)
+        self._record.write_ended(self._admission.name_route(), self._exchange.ending)
 
     def _end_delayed(self, detail: str) -> None:
         """Ends a request whose server broke off while its caller did not read."""
@@ -573,7 +418,7 @@
     ) -> forwardrules.GivenUp:
         if self._may_have_run:
             return forwardrules.give_up(reason, work.RunState.UNKNOWN, -1.0, detail)
-        return self._shared.refuse(reason, detail)
+        return refusals.refuse(reason, detail)
 
     def _end(self, given_up: forwardrules.GivenUp) -> None:
         """Ends a request that is given up."""
@@ -601,16 +446,8 @@
         self._record.write_given_up(
             given_up,
             status,
-            self._name_route(),
+            self._admission.name_route(),
             self._service,
             self._runs,
             self._refusals,
         )
-
-    def _name_route(self) -> str:
-        """Returns the route's name, also if the request was refused before routing."""
-        if self._route is not None:
-            return self._route.name
-        index, host = self._shared.index, self._exchange.headers.get("Host", "")
-        route = index.find_route(host, self._exchange.target) if index else None
-        return route.name if route else ""
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -88,9 +88,9 @@
             part.peer_address,
             self.forwarder.choice,
             lambda: self.view.hosts.values(),
-            self.forwarder.is_highly_loaded,
+            self.forwarder.load.is_high,
         )
-        self.forwarder.on_load_changed = self._load_sharing.note_change
+        self.forwarder.records.on_load_changed = self._load_sharing.note_change
         self._load_sharing.on_news = self.forwarder.admission.note_news
         self._register_gauges()
         self.caller_address = part.caller_address
@@ -130,7 +130,7 @@
         self.metrics.register_gauge(
             "lycheegauge_memory_filled",
             "Filled fraction of the fullest backend server's memory, as estimated here",
-            lambda: self.forwarder.get_most_filled(clock.read_clock()),
+            lambda: self.forwarder.load.get_most_filled(clock.read_clock()),
         )
         self.metrics.register_gauge(
             "lycheegauge_leaving_backend_servers",
@@ -170,7 +170,7 @@
     def is_ready(self) -> bool:
         """Whether this host can serve callers now."""
         has_lease = self.view.lease.allows_start(clock.read_clock())
-        has_table = self.forwarder.index is not None
+        has_table = self.forwarder.services.index is not None
         return has_lease and has_table and not self.forwarder.stopping
 
     async def start(self) -> None:
@@ -228,7 +228,7 @@
             self.incarnation,
             self.part.availability_zone,
             self.caller_address,
-            self.forwarder.index is not None,
+            self.forwarder.services.index is not None,
             self.forwarder.stopping,
         )
 
@@ -250,7 +250,7 @@
         age_s = clock.read_clock() - self.view.refreshed_at
         is_fresh = age_s <= self.part.roster.lease_s
         hosts = self.view.hosts.values() if is_fresh else ()
-        return self._discovery.answer(hosts, self.forwarder.count_open_by_host())
+        return self._discovery.answer(hosts, self.forwarder.load.count_open_by_host())
 
     async def _keep_pulling(self) -> None:
         retry_s = RETRY_INTERVAL_S
@@ -299,9 +299,9 @@
             self.forwarder.share.apply_share(reply.share, now)
             self._log_share()
         self.forwarder.apply_changes(changed)
-        self.forwarder.note_memories(reply.memories)
+        self.forwarder.records.note_memories(reply.memories)
         if reply.proof is not None:
-            self.forwarder.apply_suspects(reply)
+            self.forwarder.records.apply_suspects(reply)
             others = [name for name in self.view.hosts if name != self.part.name]
             self.forwarder.choice.update_hosts(others, now)
             self.forwarder.choice.set_other_requests(
--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -243,7 +243,7 @@
         elif attempt is self._copy and verdict is forwardrules.Verdict.NOT_RUN:
             calls.count_copy(-1)
         elif attempt is self._copy:
-            self._shared.note_failure(attempt.server)
+            self._shared.records.note_failure(attempt.server)
 
     # The copy.
 
@@ -269,8 +269,8 @@
             return hedging.Reason.LIMIT
         if not shared.get_retry_budget(service).has_left(now):
             return hedging.Reason.RETRY_BUDGET
-        candidates = shared.list_candidates(service, self._calls.tried)
-        eligible = hedging.list_eligible(candidates, shared.get_slots(service))
+        candidates = shared.chooser.list_candidates(service, self._calls.tried)
+        eligible = hedging.list_eligible(candidates, shared.services.get_slots(service))
         if isinstance(eligible, hedging.Reason):
             return eligible
         selection = serverselection.select_server(
@@ -294,7 +294,7 @@
             calls.can_repeat(),
             is_suspect,
             shared.hedging.has_waiting(calls.service),
-            shared.is_lock_step(calls.service),
+            shared.services.is_lock_step(calls.service),
             shared.progress.get_silence_s(calls.service, self._first.server.name, now),
             shared.hedging.passes.get_pass_s(calls.service, now),
             calls.route.target_gap_s,
@@ -310,7 +310,7 @@
         copy = Attempt(server, connection)
         # This process may have been paused, and the server may have answered others.
         has_lease = shared.view.lease.allows_start(clock.read_clock())
-        if not (has_lease and shared.may_send(server) and self._send(copy)):
+        if not (has_lease and shared.chooser.may_send(server) and self._send(copy)):
             shared.pool.release(server.incarnation, connection)
             return
         try:
@@ -335,7 +335,7 @@
             server, late_server, self._sent_at, budget.describe(now)
         )
         self._copy = copy
-        shared.note_sent(copy.server)
+        shared.records.note_sent(copy.server)
         calls.tried.add(server)
         calls.count_copy(1)
         copy.connection.send(calls.make_head(copy.server), self._exchange.body)
@@ -347,7 +347,9 @@
         """Records that an attempt failed while the other went on."""
         calls = self._calls
         calls.record_failure(attempt.server, detail)
-        self._shared.record_broken_attempt(attempt.server, calls.digest(), calls.parts)
+        self._shared.crash_probes.record_broken_attempt(
+            attempt.server, calls.digest(), calls.parts
+        )
 
     def _close(self, kept: Attempt) -> None:
         """Ends the attempt that is not kept."""
@@ -362,7 +364,7 @@
         loser = self._first if is_won else self._copy
         loser.connection.abort()
         loop = asyncio.get_running_loop()
-        loop.call_later(CANCEL_S, self._shared.note_ended, loser.server)
+        loop.call_later(CANCEL_S, self._shared.records.note_ended, loser.server)
 
 
 async def read_first_part(
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -55,7 +55,7 @@
                 len(shared.view.list_usable(now)),
                 round(shared.choice.estimate(server, 1, now), 2),
                 round(now - shared.view.refreshed_at, 3),
-                shared.table_version,
+                shared.services.table_version,
                 shared.view.get_lease_left(now),
                 round((deadline - now) * 1000),
                 resumed_after,
@@ -156,7 +156,7 @@
                 self._waited_ms,
                 route,
                 service,
-                shared.table_version,
+                shared.services.table_version,
                 shared.view.get_lease_left(clock.read_clock()),
                 given_up.detail,
             )
--- a/src/lycheegauge/internal/daemons/responseforwarding.py
+++ b/src/lycheegauge/internal/daemons/responseforwarding.py
@@ -1,5 +1,6 @@
 """Passes a backend server's response on to the caller of one request."""
 
+import asyncio
 import collections
 
 import tornado.httputil
@@ -21,6 +22,11 @@
 """A non-streamed response up to this size is buffered completely before it is
 forwarded, so that the request can still be repeated if the response is cut off."""
 
+DISCARD_MAX_BYTES = 65_536
+DISCARD_TIMEOUT_S = 0.05
+"""How much of a body that is not forwarded is read, so that its connection can be
+reused. A server may send it for as long as the connection is open."""
+
 
 class ResponseForwarder:
     """Forwards the responses to one request, of which the caller gets a single one.
@@ -226,7 +232,9 @@
         if events:
             # A pass is measured between events of one attempt; a part may be less.
             if self._event_at is not None:
-                self._shared.note_pass(self._service, now - self._event_at, events)
+                self._shared.admission.note_gap(
+                    self._service, now - self._event_at, now, events
+                )
             self._event_at = now
         self._shared.progress.note_part(self._service, self._server, now)
         delay_s = await self._exchange.write(part, connection)
@@ -256,6 +264,24 @@
     )
 
 
+async def discard_body(connection: upstream.UpstreamConnection) -> bool:
+    """Reads and discards a small rest of a response that is not forwarded.
+
+    Returns:
+        Whether the response has ended, so that its connection can be reused.
+    """
+    discarded_bytes = 0
+    try:
+        async with asyncio.timeout(DISCARD_TIMEOUT_S):
+            while part := await connection.read_chunk():
+                discarded_bytes += len(part)
+                if discarded_bytes > DISCARD_MAX_BYTES:
+                    return False
+    except (TimeoutError, errors.BackendServerFailedError):
+        return False
+    return True
+
+
 def _check_event_size(splitter: eventstream.EventSplitter) -> None:
     """Checks the size of an event that is not complete yet.
 
--- a/src/lycheegauge/internal/daemons/routeexplainer.py
+++ b/src/lycheegauge/internal/daemons/routeexplainer.py
@@ -12,6 +12,7 @@
 
 from lycheegauge.internal.coordination import (
     forwardrules,
+    refusals,
     requestwork,
     routeexplanation,
     serverselection,
@@ -106,11 +107,11 @@
         age_s = now - shared.view.refreshed_at
         explanation = routeexplanation.RouteExplanation(
             shared.part.name,
-            shared.table_version,
+            shared.services.table_version,
             round(age_s, 3) if math.isfinite(age_s) else None,
             shared.view.get_lease_left(now),
         )
-        index = shared.index
+        index = shared.services.index
         route = index.find_route(question.host, question.path) if index else None
         refusal, priority = self._check(question, route, now)
         if route is None or refusal is not None:
@@ -134,13 +135,13 @@
         shared = self._shared
         if shared.refuses_requests:
             return work.RefusalReason.STOPPING, 0
-        if shared.index is None:
+        if shared.services.index is None:
             return work.RefusalReason.NO_ROUTE_TABLE, 0
         if not shared.view.lease.allows_start(now):
             return work.RefusalReason.LEASE_EXPIRED, 0
         if route is None:
             return work.RefusalReason.UNKNOWN_ROUTE, 0
-        table = shared.index.table
+        table = shared.services.index.table
         holders = (
             item
             for item in table.key_holders
@@ -162,9 +163,9 @@
         now: float,
     ) -> routeexplanation.ServiceExplanation:
         shared = self._shared
-        assert shared.index is not None
-        declared = shared.index.services[weighted.service]
-        size = shared.expect_stated_size(declared.name, question.size)
+        declared = shared.services.get(weighted.service)
+        assert declared is not None
+        size = shared.services.expect_size(declared.name, question.size)
         selection = shared.candidates.copy().select(
             declared, (), size, shared.random_source, now
         )
@@ -190,10 +191,12 @@
         fills ``streams``, ``capacity`` and ``wait_s``.
         """
         if selection.chosen is None:
-            refused = self._shared.refuse_selection(selection, size)
+            refused = refusals.refuse_selection(
+                selection, size, self._shared.random_source
+            )
             return _explain_refusal(refused, priority)
         server = selection.chosen.server
-        too_late = self._shared.check_wait(route, server.service, server)
+        too_late = self._shared.chooser.check_wait(route, server.service, server)
         if too_late is not None:
             return _explain_refusal(too_late, priority)
         return routeexplanation.AdmissionExplanation(priority=priority)
--- a/tests/steps/explainroute.py
+++ b/tests/steps/explainroute.py
@@ -43,12 +43,12 @@
 @behave.then("the explained server is the one that the next request is sent to")
 def check_same(context):
     async def check(host):
-        size = host.forwarder.expect_stated_size("drafting", SIZE)
+        size = host.forwarder.services.expect_size("drafting", SIZE)
         for _ in range(15):
             explained = ask(host).services[0].chosen
-            sent = host.forwarder.choose_server("drafting", set(), size)
+            sent = host.forwarder.chooser.choose("drafting", set(), size)
             assert explained == sent.name
-            host.forwarder.note_sent(sent, size)
+            host.forwarder.records.note_sent(sent, size)
 
     run_with_host(check, servers=6)
 
@@ -85,9 +85,9 @@
         admission = ask(host, LARGE).services[0].admission
         assert admission.decision == "refused" and admission.retry_after_s is None
         assert admission.reason == "request_too_large"
-        size = host.forwarder.expect_stated_size("drafting", SIZE)
+        size = host.forwarder.services.expect_size("drafting", SIZE)
         for listing in host.forwarder.view.servers.values():
-            host.forwarder.note_sent(listing, size)
+            host.forwarder.records.note_sent(listing, size)
         service = ask(host, controlcalls.RequestSize(1500, 80)).services[0]
         assert service.admission.reason == "server_memory_full"
         assert service.admission.retry_after_s > 0
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -192,8 +192,9 @@
     async def work(host):
         support.make_late(host, threshold_s=0.01)
         ended = []
-        note_ended = host.forwarder.note_ended
-        host.forwarder.note_ended = lambda *given: (ended.append(1), note_ended(*given))
+        records = host.forwarder.records
+        note_ended = records.note_ended
+        records.note_ended = lambda *given: (ended.append(1), note_ended(*given))
 
         async def leave(number):
             with contextlib.suppress(TimeoutError):
--- a/tests/steps/serverchoice.py
+++ b/tests/steps/serverchoice.py
@@ -295,8 +295,8 @@
         assert choice.estimate(listing, 8, now) == 3 / 8
         for born_ms, tokens in ((7, 0), (1, 1500)):
             memory = roster.ServerMemory("server-0", born_ms, 0.75)
-            host.forwarder.note_memories((memory,))
-            assert host.forwarder.get_most_filled(now) == tokens / 2000
+            host.forwarder.records.note_memories((memory,))
+            assert host.forwarder.load.get_most_filled(now) == tokens / 2000
         assert b'zone="own"} 1' in host._counters.export()
         await host.close()
 
--- a/tests/steps/streamadmission.py
+++ b/tests/steps/streamadmission.py
@@ -585,7 +585,7 @@
         host = make_gateway(StreamServer(), engine, from_servers)
         await host.start()
         admission = host.forwarder.admission
-        route = host.forwarder.index.find_route(gatewayhost.HOST, "/a")
+        route = host.forwarder.services.index.find_route(gatewayhost.HOST, "/a")
         now = clock.read_clock()
         ticket = admission.make_ticket(
             "drafting", route, None, "", None, (now, now + 1.0), 0, str
--- a/tests/support/gatewayhost.py
+++ b/tests/support/gatewayhost.py
@@ -154,7 +154,7 @@
 
     def settle(self):
         """Ends the time after the start in which requests wait for updates."""
-        self.forwarder._settled_at = clock.read_clock()
+        self.forwarder.start_wait._settled_at = clock.read_clock()
 
     def start_drain(self):
         self._drain.start()
