Test hedging in virtual time, so that only modelled delays count

Cause: the scenarios measured real time and failed on a busy machine (1.989 s hedged, 0.616 s not; 0.323 against 0.638 s, load average 14 to 20).

Change: servers, callers and the host run in one loop whose time advances only while no socket is ready, and the clock of the product code is that time. The usual times spread by a quarter: with equal ones each answer was as late as the 95th percentile, and copies of sound answers spent the limit. Answers "at the same moment" now come in the same turn of the loop or up to three turns apart, drawn from a seed. The bound of half the time is unchanged.

--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -3,10 +3,9 @@
 import dataclasses
 import math
 import random
-import time
 
 import behave
-from support import gatewayhost
+from support import gatewayhost, virtualtime
 from support import hedging as support
 
 from lycheegauge.internal.coordination import (
@@ -14,9 +13,13 @@
     serverselection,
 )
 from lycheegauge.internal.protocol import roster
+from lycheegauge.internal.transport import clock
 
 SLOW_S = 0.6
 FAST_S = 0.02
+SPREAD = 0.25
+"""The usual times spread by this fraction, as those of equal length would all be as
+late as the 95th percentile."""
 REFUSAL = b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 FAILURE = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 
@@ -24,6 +27,7 @@
 def run_with(servers, repetition, work, **changes):
     async def run():
         host = support.make_host(servers, repetition, **changes)
+        host.forwarder.random_source.seed(1)
         await host.start()
         host.settle()
         try:
@@ -31,24 +35,28 @@
         finally:
             await host.close()
 
-    return asyncio.run(run())
+    return virtualtime.run_with_sockets(run())
 
 
 @behave.given("three servers, of which one {fault}, for {kind} requests")
 def plan_servers(context, fault, kind):
     def make_servers():
-        began_at = time.monotonic()
+        source = random.Random(1)
+
+        def get_usual_s():
+            return FAST_S * source.uniform(1.0 - SPREAD, 1.0 + SPREAD)
+
         delays = {
             "answers slowly": lambda: SLOW_S,
             "is slow in turn": lambda: (
-                SLOW_S if (time.monotonic() - began_at) % 1.0 > 0.5 else FAST_S
+                SLOW_S if clock.read_clock() % 1.0 > 0.5 else get_usual_s()
             ),
         }
         is_stream = "stream" in kind
         return [
             support.DelayedServer("a", is_stream, delays[fault]),
-            support.DelayedServer("b", is_stream, lambda: FAST_S),
-            support.DelayedServer("c", is_stream, lambda: FAST_S),
+            support.DelayedServer("b", is_stream, get_usual_s),
+            support.DelayedServer("c", is_stream, get_usual_s),
         ]
 
     context.make_servers, context.kind = make_servers, kind
@@ -59,7 +67,8 @@
 
     async def work(host):
         # Enough answers of the usual time to know what a late one is.
-        first_delay, servers[0].get_delay_s = servers[0].get_delay_s, lambda: FAST_S
+        usual_delay = servers[1].get_delay_s
+        first_delay, servers[0].get_delay_s = servers[0].get_delay_s, usual_delay
         await support.send(host, 100, "known", 0.005)
         servers[0].get_delay_s = first_delay
         return await support.send(host, count, "r", 0.02)
@@ -123,15 +132,19 @@
 
     class Server(support.DelayedServer):
         async def _answer(self, reader, writer):
-            arrived_at = time.monotonic()
+            arrived_at = clock.read_clock()
             if not moments or arrived_at > moments[-1]:
                 moments.append(arrived_at + 0.1)
             return await super()._answer(reader, writer)
 
     def get_delay_s():
-        return max(0.0, moments[-1] - time.monotonic())
+        return max(0.0, moments[-1] - clock.read_clock())
 
+    source = random.Random(1)
     context.servers = [Server(name, "stream" in kind, get_delay_s) for name in "ab"]
+    for server in context.servers:
+        # Their answers arrive in one turn of the loop, or a few turns apart.
+        server.get_turns = lambda: source.randrange(4)
 
 
 @behave.when("{count:d} requests are each sent to both of them")
@@ -295,7 +308,7 @@
 
 def list_preparations(forwarder):
     """Lists what forbids a copy, as functions that bring it about at a host."""
-    now = time.clock_gettime(time.CLOCK_BOOTTIME)
+    now = clock.read_clock()
     hedger, budget = forwarder.hedging, forwarder.get_retry_budget("drafting")
     return [
         lambda: spend(lambda: budget.spend(now), lambda: None),
--- a/tests/support/hedging.py
+++ b/tests/support/hedging.py
@@ -4,11 +4,11 @@
 import bisect
 import collections
 import random
-import time
 
 from support import gatewayhost
 
 from lycheegauge.internal.coordination import hedging, hostshares, sharegrants
+from lycheegauge.internal.transport import clock
 
 EVENTS = 4
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -20,6 +20,7 @@
 
     Attributes:
         runs: How often each request, by its target, was sent here.
+        get_turns: Returns for how many turns of the loop an answer is held then.
         aborted: How many connections were closed before the answer.
         first_faults: What to send instead of the first answers: bytes, or ``None`` for
             a reset.
@@ -29,6 +30,7 @@
         super().__init__(None)
         self.name, self.is_stream = name, is_stream
         self.get_delay_s, self.event_pause_s = get_delay_s, event_pause_s
+        self.get_turns = lambda: 0
         self.runs = collections.Counter()
         self.aborted = self.open = self.reused_after_abort = 0
         self.faults = []
@@ -62,6 +64,8 @@
             return False
         closed.cancel()
         await asyncio.gather(closed, return_exceptions=True)
+        for _ in range(self.get_turns()):
+            await asyncio.sleep(0)
         if self.faults:
             fault = self.faults.pop()
             if fault is None:
@@ -104,9 +108,9 @@
 
     async def ask(number):
         await asyncio.sleep(number * interval_s)
-        began_at = time.monotonic()
+        began_at = clock.read_clock()
         received = await gatewayhost.call(host.address, f"/{prefix}-{number}")
-        return received, time.monotonic() - began_at
+        return received, clock.read_clock() - began_at
 
     return await asyncio.gather(*map(ask, range(count)))
 
@@ -115,7 +119,7 @@
     """Makes answers late after a time; most tests start without any answers."""
     hedger = host.forwarder.hedging
     hedger.times.get_late_after = lambda kind, now: threshold_s
-    now = time.clock_gettime(time.CLOCK_BOOTTIME)
+    now = clock.read_clock()
     for _ in range(1000):
         hedger.note_request(service, now)
 
