Count the bytes of a second copy apart from those of the first attempt

Cause: a copy was sent on a connection without a holder. A body of 1 MB that its server did not read was held without being counted, and the copy could not be ended when the bound was reached.

Change: a copy has a holder of its own, which is closed when the copy fails, is cancelled or loses. If it wins, the rest of its answer is counted and ended with the exchange. A copy that is ended for the bound counts neither as a failure of its server nor ends the request: the first attempt goes on.

Result: four scenarios (first attempt answered, copy answered, caller leaves, copy ended) fail before the change, since only one request waits with bytes, and pass with it; nothing is held afterwards in any of them.

--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -20,7 +20,7 @@
 )
 from lycheegauge.internal.daemons import forwarder, requestrecord, responseforwarding
 from lycheegauge.internal.protocol import roster, routetables
-from lycheegauge.internal.transport import clock, ingress, upstream
+from lycheegauge.internal.transport import bytebudget, clock, ingress, upstream
 
 CHECK_INTERVAL_S = 0.1
 """Interval at which a late request is looked at again if no copy may be sent now."""
@@ -30,6 +30,7 @@
 way there and one pass of a lock-step group."""
 
 ANSWERED_ELSEWHERE = "another server answered first"
+ENDED_FOR_BOUND = "ended because of the bound on the bytes held"
 
 FINAL_REASONS = (
     hedging.Reason.NOT_REPEATABLE,
@@ -49,12 +50,22 @@
         connection: The connection, which returns what was read ahead once more.
         head: The head of the answer, once there is one.
         is_good: Whether the answer may be passed on to the caller.
+        holder: Counts the bytes held for a copy; ``None`` if they are not counted, or
+            counted with the exchange.
+        is_ended: Whether it was ended because of the bound on the bytes held.
     """
 
     server: roster.ServerListing
     connection: upstream.UpstreamConnection
     head: upstream.ResponseHead | None = None
     is_good: bool = False
+    holder: bytebudget.Holder | None = None
+    is_ended: bool = False
+
+    def end(self, ending: bytebudget.Ending) -> None:
+        """Ends the attempt because of the bound on the bytes held."""
+        self.is_ended = True
+        self.connection.close_with_error(ENDED_FOR_BOUND)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -316,8 +327,12 @@
         try:
             await self._read_ahead(copy)
         except errors.BackendServerFailedError as error:
-            self._note_lost(copy, str(error))
+            if not copy.is_ended:
+                self._note_lost(copy, str(error))
             return
+        finally:
+            if not copy.is_good:
+                self._close_holder(copy)
         if copy.is_good and self._winner is None:
             self._winner = copy
             self._first.connection.close_with_error(ANSWERED_ELSEWHERE)
@@ -338,11 +353,25 @@
         shared.records.note_sent(copy.server)
         calls.tried.add(server)
         calls.count_copy(1)
+        self._count_bytes(copy)
         copy.connection.send(calls.make_head(copy.server), self._exchange.body)
         return True
 
+    def _count_bytes(self, copy: Attempt) -> None:
+        """Counts a copy's bytes apart: the first attempt sets the exchange's counts."""
+        shared_holder = self._exchange.holder
+        if shared_holder is not None:
+            copy.holder = bytebudget.Holder(shared_holder.budget)
+            copy.holder.end = copy.end
+            copy.connection.holder = copy.holder
+
     # Ends.
 
+    def _close_holder(self, copy: Attempt) -> None:
+        """Returns a copy's bytes."""
+        if copy.holder is not None:
+            copy.holder.close()
+
     def _note_lost(self, attempt: Attempt, detail: str) -> None:
         """Records that an attempt failed while the other went on."""
         calls = self._calls
@@ -363,6 +392,10 @@
         self._shared.metrics.count_hedge("won" if is_won else "lost")
         loser = self._first if is_won else self._copy
         loser.connection.abort()
+        if is_won and self._copy.connection.holder is not None:
+            # The rest of the answer is counted and ended with the exchange.
+            self._copy.connection.move_bytes(self._exchange.holder)
+        self._close_holder(self._copy)
         loop = asyncio.get_running_loop()
         loop.call_later(CANCEL_S, self._shared.records.note_ended, loser.server)
 
--- a/src/lycheegauge/internal/transport/boundedupstream.py
+++ b/src/lycheegauge/internal/transport/boundedupstream.py
@@ -74,6 +74,12 @@
         self._is_held = False
         self._limit_reading()
 
+    def move_bytes(self, holder: bytebudget.Holder | None) -> None:
+        """Counts the bytes of the current request with another holder."""
+        super().move_bytes(holder)
+        self._limit_reading()
+        self._write_rest()
+
     def abort(self) -> None:
         """Closes the connection at once."""
         self._release()
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -158,6 +158,10 @@
     def release_reading(self) -> None:
         """Ends the pause."""
 
+    def move_bytes(self, holder: bytebudget.Holder | None) -> None:
+        """Counts the bytes of the current request with another holder."""
+        self.holder = holder
+
     # Called by the pool and by the code that sends requests.
 
     @property
--- a/tests/failures/hedging.feature
+++ b/tests/failures/hedging.feature
@@ -35,6 +35,17 @@
     Then after 60 callers left while two servers answered no request counts as open
     And both servers refusing a request and its copy is answered as not run
 
+  # Guards against bytes of a copy that overwrite the first attempt's, or leak.
+  Scenario Outline: The bytes of a copy are counted until it has ended if <ends>
+    Then a copy of a request with 1 MB holds bytes of its own until <ends>
+
+    Examples:
+      | ends                              |
+      | the first attempt is answered     |
+      | the copy is answered              |
+      | the caller leaves                 |
+      | the copy is ended for the bound   |
+
   # Guards against requests that go on at servers after their host has stopped.
   Scenario: A host that stops between the two sends cancels both
     Then a stop of the host ends both attempts and closes the caller's connection
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -5,7 +5,7 @@
 import random
 
 import behave
-from support import gatewayhost, virtualtime
+from support import gatewayhost, rawpeers, virtualtime
 from support import hedging as support
 
 from lycheegauge.internal.coordination import (
@@ -224,6 +224,47 @@
     assert count_copies(servers) > count / 2
 
 
+class UnreadServer(support.DelayedServer):
+    """Reads bodies only once it has answered: most of one waits at the host."""
+
+    async def _answer(self, reader, writer):
+        await asyncio.sleep(self.get_delay_s())
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        while await reader.read(65_536):
+            pass
+        return False
+
+
+@behave.then("a copy of a request with 1 MB holds bytes of its own until {ends}")
+def check_bytes(context, ends):
+    delays = {"the first attempt is answered": (0.4, 3.0)}.get(ends, (3.0, 0.4))
+    servers = [UnreadServer("ab"[n], False, lambda n=n: delays[n]) for n in (0, 1)]
+
+    async def work(host):
+        support.make_late(host)
+        host.forwarder.choice.note_sent("server-1")
+        budget = host.forwarder.budget
+        caller = await rawpeers.RawCaller(host.address).open()
+        await caller.send("r", b"y" * 1_000_000)
+        await asyncio.sleep(0.2)
+        waiting = list(budget._waiting)
+        assert [server.open for server in servers] == [1, 1]
+        # What the system takes of the body differs between machines.
+        assert len(waiting) == 2 and all(item.held_bytes for item in waiting), waiting
+        if ends == "the copy is ended for the bound":
+            budget._end(waiting[1], clock.read_clock())
+            await asyncio.sleep(0.1)
+            assert not host.forwarder.choice.has_failed("server-1", clock.read_clock())
+            assert budget.waiting_count == 1
+        if "answered" in ends:
+            assert await caller.read_status() == 200
+        caller.close()
+        await asyncio.sleep(0.5)
+        assert (budget.held_bytes, budget.waiting_count) == (0, 0)
+
+    run_with(servers, "safe", work, attempts_max=2, limits={"held_bytes": 16_000_000})
+
+
 @behave.then("both servers refusing a request and its copy is answered as not run")
 def check_refused(context):
     servers = [support.DelayedServer("a", False, lambda: 0.3)]
