Count the tokens of a second copy at its server, and check its memory

Cause, found in a review: a copy was sent without the request's size. Its tokens and work were not counted at its server, and it could be sent to one whose memory was full. When the copy won, the tokens of the first attempt were returned with the answer of the copy instead of with the end of the first attempt.

Change: a copy brings the request's size as the first attempt does; each returns its own when it has ended. Servers without room are not eligible for a copy.

--- a/src/lycheegauge/internal/coordination/hedging.py
+++ b/src/lycheegauge/internal/coordination/hedging.py
@@ -240,6 +240,7 @@
         or candidate.is_cold
         or candidate.has_failed
         or candidate.is_out
+        or not (candidate.can_hold and candidate.has_room)
     )
     return not is_excluded and candidate.busy < 1.0
 
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -218,8 +218,9 @@
             connection.send(self._make_head(server), self._exchange.body)
             was_run, self._may_have_run = self._may_have_run, True
             self._runs += 1
-            answer = await self._read_answer(server, connection)
+            answer = await self._read_answer(server, connection, brought)
             server, connection, head = answer.server, answer.connection, answer.head
+            brought = answer.brought
             assert head is not None
             was_run = was_run or self._copy_runs > 0
             self._check_response(server, head, connection)
@@ -284,10 +285,13 @@
         shared.chooser.get_forecast(self._service).note_served(served_s)
 
     async def _read_answer(
-        self, server: roster.ServerListing, connection: upstream.UpstreamConnection
+        self,
+        server: roster.ServerListing,
+        connection: upstream.UpstreamConnection,
+        brought: requestwork.RequestWork | None,
     ) -> hedgedattempt.Attempt:
         """Waits for an answer; if it is late, a copy at another server may answer."""
-        first = hedgedattempt.Attempt(server, connection)
+        first = hedgedattempt.Attempt(server, connection, brought=brought)
         late_after_s = None
         if not self._exchange.is_started:
             late_after_s = self._hedging.get_late_after(self._route)
@@ -301,6 +305,7 @@
                 self._route,
                 self._service,
                 self._admission.parts,
+                self._admission.size,
                 self._tried_servers,
                 self._admission.digest_request,
                 self._can_repeat_elsewhere,
@@ -314,7 +319,10 @@
         )
         if winner is not first:
             self._response.begin_attempt(
-                self._service, winner.server.name, self._admission.parts
+                self._service,
+                winner.server.name,
+                self._admission.parts,
+                winner.brought,
             )
         return winner
 
--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -16,6 +16,7 @@
     eventstream,
     forwardrules,
     hedging,
+    requestwork,
     serverselection,
 )
 from lycheegauge.internal.daemons import forwarder, requestrecord, responseforwarding
@@ -52,6 +53,7 @@
         is_good: Whether the answer may be passed on to the caller.
         holder: Counts the bytes held for a copy; ``None`` if they are not counted, or
             counted with the exchange.
+        brought: What it holds at the server; ``None`` if that is not counted.
         is_ended: Whether it was ended because of the bound on the bytes held.
     """
 
@@ -60,6 +62,7 @@
     head: upstream.ResponseHead | None = None
     is_good: bool = False
     holder: bytebudget.Holder | None = None
+    brought: requestwork.RequestWork | None = None
     is_ended: bool = False
 
     def end(self, ending: bytebudget.Ending) -> None:
@@ -76,6 +79,7 @@
         route: The request's route.
         service: Its service.
         parts: The shared parts of its prompt.
+        size: Its expected size; ``None`` if it is not known.
         tried: Names of the servers that it was sent to.
         digest: Returns its fingerprint.
         can_repeat: Tells whether its route allows another attempt.
@@ -90,6 +94,7 @@
     route: routetables.Route
     service: str
     parts: tuple[str, ...]
+    size: requestwork.ExpectedSize | None
     tried: set[str]
     digest: collections.abc.Callable[[], str]
     can_repeat: collections.abc.Callable[[], bool]
@@ -280,7 +285,9 @@
             return hedging.Reason.LIMIT
         if not shared.get_retry_budget(service).has_left(now):
             return hedging.Reason.RETRY_BUDGET
-        candidates = shared.chooser.list_candidates(service, self._calls.tried)
+        candidates = shared.chooser.list_candidates(
+            service, self._calls.tried, self._calls.size
+        )
         eligible = hedging.list_eligible(candidates, shared.services.get_slots(service))
         if isinstance(eligible, hedging.Reason):
             return eligible
@@ -350,7 +357,7 @@
             server, late_server, self._sent_at, budget.describe(now)
         )
         self._copy = copy
-        shared.records.note_sent(copy.server)
+        copy.brought = shared.records.note_sent(copy.server, calls.size)
         calls.tried.add(server)
         calls.count_copy(1)
         self._count_bytes(copy)
@@ -397,7 +404,8 @@
             self._copy.connection.move_bytes(self._exchange.holder)
         self._close_holder(self._copy)
         loop = asyncio.get_running_loop()
-        loop.call_later(CANCEL_S, self._shared.records.note_ended, loser.server)
+        note_ended = self._shared.records.note_ended
+        loop.call_later(CANCEL_S, note_ended, loser.server, loser.brought)
 
 
 async def read_first_part(
--- a/src/lycheegauge/internal/daemons/serverchooser.py
+++ b/src/lycheegauge/internal/daemons/serverchooser.py
@@ -93,11 +93,14 @@
         return server
 
     def list_candidates(
-        self, service: str, tried: set[str]
+        self,
+        service: str,
+        tried: set[str],
+        size: requestwork.ExpectedSize | None = None,
     ) -> list[serverselection.Candidate]:
         """Lists what this host knows of the servers of a service."""
         return self._candidates.collect(
-            self._get_declared(service), tried, clock.read_clock()
+            self._get_declared(service), tried, clock.read_clock(), size
         )
 
     def may_send(self, server: roster.ServerListing) -> bool:
--- a/tests/failures/hedging.feature
+++ b/tests/failures/hedging.feature
@@ -30,6 +30,10 @@
   Scenario: A cancelled attempt counts as open until its server has ended it
     Then the server of a cancelled attempt has an open request a moment longer
 
+  # Guards against memory that looks free while a copy or a cancelled attempt uses it.
+  Scenario: Both attempts hold memory at their servers until they have ended
+    Then the servers of a request and its copy hold its tokens until each has ended
+
   # Guards against open requests that are never counted as ended, or ended twice.
   Scenario: Callers that leave at any moment leave no open request behind
     Then after 60 callers left while two servers answered no request counts as open
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -10,6 +10,8 @@
 
 from lycheegauge.internal.coordination import (
     hedging,
+    hostshares,
+    requestwork,
     serverselection,
 )
 from lycheegauge.internal.protocol import roster
@@ -224,6 +226,36 @@
     assert count_copies(servers) > count / 2
 
 
+@behave.then(
+    "the servers of a request and its copy hold its tokens until each has ended"
+)
+def check_memory(context):
+    servers = [support.DelayedServer("a", False, lambda: 2.0)]
+    servers.append(support.DelayedServer("b", False, lambda: 0.3))
+
+    async def work(host):
+        support.make_late(host)
+        choice, size = host.forwarder.choice, requestwork.ExpectedSize(300, 100)
+        host.forwarder.expect_size = lambda service, headers: size
+        choice.note_sent("server-1")
+        asked = asyncio.create_task(support.send(host, 1, "r"))
+        held = []
+        for pause_s in (0.2, 0.2, 0.3):
+            await asyncio.sleep(pause_s)
+            listings = host.forwarder.view.servers.values()
+            held.append(
+                [choice.memory.count_own_tokens(item.incarnation) for item in listings]
+            )
+        assert held == [[400, 400], [400, 0], [0, 0]], held
+        await asked
+
+    engine = {"memory_tokens": 10_000, "steps_per_event": 7, "stream_step_s": 0.001}
+    run_with(
+        servers, "safe", work, attempts_max=2, engine=engine,
+        server_choice={"weigh_work": True},
+    )  # fmt: skip
+
+
 class UnreadServer(support.DelayedServer):
     """Reads bodies only once it has answered: most of one waits at the host."""
 
@@ -393,6 +425,7 @@
     for change in (
         {"is_leaving": True}, {"is_cold": True}, {"limit_interval_s": 0.5},
         {"is_out": True}, {"has_failed": True}, {"is_tried": True},
+        {"can_hold": False}, {"has_room": False},
         {"may_send": False}, {"has_connection": False},
         {"server": dataclasses.replace(LISTING, silent=True)},
     ):  # fmt: skip
