Send no second copy once the first attempt has failed

Cause, found in a review: when the first attempt failed while the copy was still connecting, the copy was sent all the same, as a hedge.

Change: only a copy that was sent already is waited for. Otherwise the attempt ends with its failure, and the request is repeated by the usual rules.

--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -236,8 +236,10 @@
             self._timer.cancel()
         if self._winner is None and first.is_good:
             self._winner = first
-        if self._winner is None and self._task is not None:
-            # The first attempt is lost, but the copy may still be answered.
+        if self._winner is None and self._task is not None and self._copy is not None:
+            # The first attempt is lost, but the copy may still be answered. One that
+            # still connects is not sent: a repetition asks first whether the request
+            # may have crashed the server.
             await asyncio.wait((self._task,))
         if self._winner is not None and self._winner is not first:
             if failure is not None and ANSWERED_ELSEWHERE not in str(failure):
--- a/tests/failures/hedging.feature
+++ b/tests/failures/hedging.feature
@@ -34,6 +34,10 @@
   Scenario: Both attempts hold memory at their servers until they have ended
     Then the servers of a request and its copy hold its tokens until each has ended
 
+  # Guards against a copy of what the first attempt's failure has made suspect.
+  Scenario: No copy is sent once the first attempt has failed
+    Then a first attempt that is reset while its copy connects is repeated, not copied
+
   # Guards against open requests that are never counted as ended, or ended twice.
   Scenario: Callers that leave at any moment leave no open request behind
     Then after 60 callers left while two servers answered no request counts as open
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -256,6 +256,34 @@
     )  # fmt: skip
 
 
+@behave.then(
+    "a first attempt that is reset while its copy connects is repeated, not copied"
+)
+def check_connecting(context):
+    first = support.DelayedServer("a", False, lambda: 0.15)
+    first.faults = [None]
+    second = support.DelayedServer("b", False, lambda: FAST_S)
+
+    async def work(host):
+        support.make_late(host)
+        pool, spent = host.forwarder.pool, []
+        host.forwarder.choice.note_sent("server-1")
+        host.forwarder.hedging.spend = lambda *given: spent.append(given)
+        acquire = pool.acquire
+
+        async def acquire_late(key, address, *allows):
+            if address == second.address:
+                await asyncio.sleep(0.3)
+            return await acquire(key, address, *allows)
+
+        pool.acquire = acquire_late
+        (result,) = await support.send(host, 1, "r")
+        assert not spent and result[0].status == 200, (spent, result)
+
+    run_with([first, second], "safe", work, attempts_max=2)
+    assert (first.runs["/r-0"], second.runs["/r-0"]) == (1, 1)
+
+
 class UnreadServer(support.DelayedServer):
     """Reads bodies only once it has answered: most of one waits at the host."""
 
