--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -12,6 +12,7 @@
     memorylimits,
     refusals,
     repeatbudget,
+    requestwork,
 )
 from lycheegauge.internal.daemons import (
     forwarder,
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -10,7 +10,6 @@
 
 from lycheegauge.internal.coordination import (
     hedging,
-    hostshares,
     requestwork,
     serverselection,
 )
