Explain the decision of stream admission with explain-route

The command explained the choice of servers only; where streams are limited, it said "starts" for requests that would wait or be refused.

The gate now decides on a copy of its estimates, rates, allowance and pass times, the daemon on copies of its view and of the other hosts' counts; the queue is only read (`has_room`). So the answer is the one that the next request gets, with the renewal of the allowance and its random rounding. The command prints level, open streams and their age, capacity, pass time and its age, headroom, requests ahead, and start, wait or refusal with its time. `explain` of the gate, which nothing called, did not renew the allowance.

Ruled out: a deep copy of the gate, as a waiting request refers to its exchange and to the forwarder.

--- a/src/lycheegauge/internal/coordination/loadnews.py
+++ b/src/lycheegauge/internal/coordination/loadnews.py
@@ -31,6 +31,16 @@
         self._work_ms: collections.Counter[str] = collections.Counter()
         self._weighed: collections.Counter[str] = collections.Counter()
 
+    def copy(self) -> "LoadNewsStore":
+        """Returns a copy in which updates can expire."""
+        copied = LoadNewsStore()
+        copied._by_host = dict(self._by_host)
+        copied._counts = self._counts.copy()
+        copied._tokens = self._tokens.copy()
+        copied._work_ms = self._work_ms.copy()
+        copied._weighed = self._weighed.copy()
+        return copied
+
     def apply(self, news: roster.LoadNews, now: float) -> bool:
         """Applies an update; returns whether it is the newest from its host."""
         known = self._by_host.get(news.host)
--- a/src/lycheegauge/internal/coordination/routeexplanation.py
+++ b/src/lycheegauge/internal/coordination/routeexplanation.py
@@ -4,7 +4,13 @@
 import dataclasses
 import math
 
-from lycheegauge.internal.coordination import requestwork, serverselection
+from lycheegauge.internal.coordination import (
+    forwardrules,
+    requestwork,
+    serverselection,
+    streamadmission,
+    streamgate,
+)
 from lycheegauge.internal.protocol import roster
 
 CHOSEN = "chosen"
@@ -15,6 +21,12 @@
 WAITS = "waits"
 REFUSED = "refused"
 
+DECISIONS = {
+    streamadmission.Verdict.START: STARTS,
+    streamadmission.Verdict.WAIT: WAITS,
+    streamadmission.Verdict.REFUSE: REFUSED,
+}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissionExplanation:
@@ -30,6 +42,17 @@
             can't help or the request is not refused.
         streams: Streams open at all hosts; ``None`` if they are not limited.
         capacity: Streams that may be open; ``None`` if they are not limited.
+        streams_age_s: Age of the other hosts' counts of streams, in seconds; ``None``
+            for none.
+        pass_s: The time of a pass, in seconds; ``None`` if streams are not limited.
+        pass_age_s: Its age, in seconds; ``None`` if it is modelled.
+        level: The rank of the priority among those of the service, from 0; ``None``
+            if streams are not limited.
+        levels: The number of levels.
+        headroom: Streams that the level leaves free for more urgent ones; negative if
+            it may exceed the capacity.
+        ahead: Waiting requests that start before this one.
+        wait_max_s: How long the request may wait, in seconds.
     """
 
     decision: str = STARTS
@@ -40,6 +63,14 @@
     retry_after_s: float | None = None
     streams: float | None = None
     capacity: float | None = None
+    streams_age_s: float | None = None
+    pass_s: float | None = None
+    pass_age_s: float | None = None
+    level: int | None = None
+    levels: int = 0
+    headroom: float = 0.0
+    ahead: int = 0
+    wait_max_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +149,42 @@
     services: tuple[ServiceExplanation, ...] = ()
 
 
+def explain_admission(
+    explained: streamgate.Explanation,
+    priority: int,
+    refused: forwardrules.GivenUp | None,
+    streams_age_s: float,
+) -> AdmissionExplanation:
+    """Puts together what stream admission decided about a request.
+
+    Args:
+        explained: The decision and what it depends on.
+        priority: The priority of the request.
+        refused: The refusal, if it is refused.
+        streams_age_s: Age of the other hosts' counts of streams, in seconds.
+    """
+    decision, host = explained.decision, explained.host
+    limit, age_s = host.capacity.limit, explained.pass_age_s
+    return AdmissionExplanation(
+        DECISIONS[decision.verdict],
+        refused.reason.value if refused else "",
+        refused.detail if refused else "",
+        priority,
+        round(decision.expected_s, 3),
+        round(refused.retry_after_s, 2) if refused else None,
+        round(host.own + host.others, 1),
+        round(limit, 1) if math.isfinite(limit) else None,
+        _round_age(streams_age_s),
+        round(host.capacity.pass_s, 4),
+        None if age_s is None else round(age_s, 3),
+        explained.level,
+        explained.levels,
+        round(host.headroom, 1),
+        host.ahead,
+        round(decision.wait_max_s, 3),
+    )
+
+
 def explain_servers(
     selection: serverselection.Selection,
     listed: collections.abc.Iterable[tuple[roster.ServerListing, str]],
--- a/src/lycheegauge/internal/coordination/serverchoice.py
+++ b/src/lycheegauge/internal/coordination/serverchoice.py
@@ -4,6 +4,7 @@
 its last pull or, while servers are crowded, as of their load updates.
 """
 
+import copy
 import dataclasses
 import math
 import typing
@@ -77,6 +78,13 @@
         self.news = loadnews.LoadNewsStore()
         self.has_recent_news = False
 
+    def copy(self) -> "ServerChoice":
+        """Returns a copy whose counts can expire without changing this one."""
+        copied = copy.copy(self)
+        copied.news = self.news.copy()
+        copied._loads = dict(self._loads)
+        return copied
+
     def has_failed(self, server: str, now: float) -> bool:
         """Tells whether a server is excluded because it failed recently."""
         load = self._loads.get(server)
@@ -141,6 +149,13 @@
         own_s = self.memory.get_own_remaining_s(server.incarnation)
         return own_s + others_s + more * OPEN_FRACTION * usual_s
 
+    def get_counts_age_s(self, servers: typing.Iterable[str], now: float) -> float:
+        """Returns the age of the other hosts' counts in use; infinite for none."""
+        if self.has_recent_news:
+            return self.news.get_oldest_age_s(now)
+        ages = (self.get_pull_age_s(server, now) for server in servers)
+        return max(ages, default=math.inf)
+
     def get_pull_age_s(self, server: str, now: float) -> float:
         """Returns the age of the last pull's counts, in seconds; infinite for none."""
         load = self._loads.get(server)
--- a/src/lycheegauge/internal/coordination/streamcapacity.py
+++ b/src/lycheegauge/internal/coordination/streamcapacity.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import copy
 import dataclasses
 import enum
 import math
@@ -83,13 +84,31 @@
 
     def get_pass(self, now: float) -> float | None:
         """Returns the pass time in seconds; ``None`` if it is unknown."""
+        return self._find_pass(now)[0]
+
+    def get_age(self, now: float) -> float | None:
+        """Returns the age of the pass time in seconds; ``None`` if it is unknown.
+
+        That of the median over hosts counts from the leader's answer.
+        """
+        pass_s, measured_at = self._find_pass(now)
+        return None if pass_s is None else now - measured_at
+
+    def copy(self) -> "PassMeter":
+        """Returns a copy that can be read without changing this one."""
+        copied = copy.copy(self)
+        copied._gaps = self._gaps.copy()
+        return copied
+
+    def _find_pass(self, now: float) -> tuple[float | None, float]:
+        """Returns the pass time, and when it was measured, in seconds."""
         self._compute(now)
         has_own = now - self._latest_at <= PASS_AGE_MAX_S
         if has_own and self._samples >= OWN_SAMPLES_MIN:
-            return self._median_s
+            return self._median_s, self._latest_at
         if now - self._shared_at <= SHARED_AGE_MAX_S:
-            return self._shared_s
-        return self._median_s if has_own else None
+            return self._shared_s, self._shared_at
+        return (self._median_s if has_own else None), self._latest_at
 
     def make_report(self, service: str, now: float) -> roster.ServicePass | None:
         """Creates this host's report; ``None`` without gaps in the window."""
@@ -131,6 +150,12 @@
         while len(self._counts) > 1 and self._counts[1][0] <= now - GAP_WINDOW_S:
             self._counts.popleft()
 
+    def copy(self) -> "OpenHistory":
+        """Returns a copy to which counts can be added."""
+        copied = OpenHistory()
+        copied._counts = self._counts.copy()
+        return copied
+
     def get_mean(self, streams: float, now: float) -> float:
         """Returns the mean of the last window.
 
--- a/src/lycheegauge/internal/coordination/streamgate.py
+++ b/src/lycheegauge/internal/coordination/streamgate.py
@@ -4,6 +4,7 @@
 what the host knows of the others, and starts or refuses the requests that it names.
 """
 
+import copy
 import dataclasses
 import random
 
@@ -61,6 +62,28 @@
     displaced: tuple[streamwaiting.Stream, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """The decision that a request would get, and what it depends on.
+
+    Attributes:
+        decision: The decision.
+        host: What the host knows.
+        level: The level of the request; 0 is the most urgent.
+        levels: The number of levels.
+        pass_age_s: The age of the measured pass time, in seconds; ``None`` if it is
+            modelled.
+        retry_after_s: When to retry a refused request, in seconds.
+    """
+
+    decision: streamadmission.Decision
+    host: streamadmission.HostLoad
+    level: int
+    levels: int
+    pass_age_s: float | None
+    retry_after_s: float
+
+
 class StreamGate:
     """Admits the streams of one service at one host.
 
@@ -133,10 +156,42 @@
 
     def explain(
         self, stream: streamwaiting.Stream, view: GateView, now: float
-    ) -> streamadmission.Decision:
-        """Returns the decision that a request would get now; changes nothing."""
-        level = self.find_level(stream.priority)
-        return self._decide(stream, self.describe(level, view, now), now)
+    ) -> Explanation:
+        """Explains the decision that a request would get now.
+
+        It draws numbers as the decision does, and changes nothing else.
+        """
+        gate = self._copy()
+        level = gate.find_level(stream.priority)
+        capacity = gate._update(view, now)
+        host = gate._make_host_load(level, capacity, view, now)
+        decision = gate._decide(stream, host, now)
+        stream.level = level
+        if decision.verdict is streamadmission.Verdict.WAIT and not (
+            gate.waiting.has_room(stream)
+        ):
+            decision = _refuse_full(decision)
+        retry_after_s = 0.0
+        if decision.verdict is streamadmission.Verdict.REFUSE:
+            retry_after_s = gate.compute_retry_after(stream, decision.expected_s, now)
+        return Explanation(
+            decision,
+            host,
+            level,
+            len(gate.rules.levels),
+            gate.meter.get_age(now),
+            retry_after_s,
+        )
+
+    def _copy(self) -> "StreamGate":
+        """Returns a copy whose estimates can be updated; it shares the queue."""
+        copied = copy.copy(self)
+        copied.meter = self.meter.copy()
+        copied._history = self._history.copy()
+        copied._estimator = copy.copy(self._estimator)
+        copied._rates = copy.copy(self._rates)
+        copied._extra = copy.copy(self._extra)
+        return copied
 
     def arrive(
         self, stream: streamwaiting.Stream, view: GateView, now: float
@@ -162,12 +217,7 @@
             stream.waits_until = now + decision.wait_max_s
             return Ruling(decision, displaced)
         self.waiting.note_refused(stream, now)
-        refusal = dataclasses.replace(
-            decision,
-            verdict=streamadmission.Verdict.REFUSE,
-            cause=streamadmission.Cause.QUEUE_FULL,
-        )
-        return Ruling(refusal, displaced)
+        return Ruling(_refuse_full(decision), displaced)
 
     def start_waiting(
         self, view: GateView, now: float
@@ -314,3 +364,12 @@
             self._extra.take()
         stream.is_open = True
         self.own += 1
+
+
+def _refuse_full(decision: streamadmission.Decision) -> streamadmission.Decision:
+    """Turns a wait into a refusal, because no more requests can wait."""
+    return dataclasses.replace(
+        decision,
+        verdict=streamadmission.Verdict.REFUSE,
+        cause=streamadmission.Cause.QUEUE_FULL,
+    )
--- a/src/lycheegauge/internal/coordination/streamwaiting.py
+++ b/src/lycheegauge/internal/coordination/streamwaiting.py
@@ -155,15 +155,21 @@
             stream.is_large = smaller >= LARGE_FRACTION * len(works)
         works.append(size)
 
+    def has_room(self, stream: Stream) -> bool:
+        """Tells whether a request could be queued now."""
+        return self._list_displaced(stream) is not None
+
     def add(self, stream: Stream, now: float) -> tuple[bool, tuple[Stream, ...]]:
         """Queues a request.
 
         Returns:
             Whether it waits, and less urgent requests that no longer do because of it.
         """
-        displaced = self._make_room(stream)
+        displaced = self._list_displaced(stream)
         if displaced is None:
             return False, ()
+        for item in displaced:
+            self.remove(item)
         level = self._levels[stream.level]
         stream.has_returned = self._has_returned(stream, now)
         queue = level.returned if stream.has_returned else level.new
@@ -259,11 +265,11 @@
                 return stream
         return None
 
-    def _make_room(self, stream: Stream) -> tuple[Stream, ...] | None:
-        """Removes less urgent requests that a new one displaces.
+    def _list_displaced(self, stream: Stream) -> tuple[Stream, ...] | None:
+        """Lists the less urgent requests that a new one displaces.
 
         Returns:
-            The removed requests; ``None`` if there is no room for the new one.
+            ``None`` if there is no room for the new one.
         """
         if stream.body_bytes > BODY_BYTES_MAX:
             return None
@@ -280,8 +286,6 @@
             displaced.append(last)
             length -= 1
             body_bytes -= last.body_bytes
-        for item in displaced:
-            self.remove(item)
         return tuple(displaced)
 
 
--- a/src/lycheegauge/internal/daemons/routeexplainer.py
+++ b/src/lycheegauge/internal/daemons/routeexplainer.py
@@ -166,6 +166,12 @@
         declared = shared.services.get(weighted.service)
         assert declared is not None
         size = shared.services.expect_size(declared.name, question.size)
+        # In the order of a request, so that the same random numbers are drawn.
+        admission = None
+        if shared.chooser.has_server(declared.name):
+            admission = shared.admission.explain(
+                declared.name, route, priority, question.organisation, question.size
+            )
         selection = shared.candidates.copy().select(
             declared, (), size, shared.random_source, now
         )
@@ -173,7 +179,7 @@
             declared.name,
             weighted.weight,
             size,
-            self._explain_admission(route, priority, selection, size),
+            self._explain_admission(route, priority, admission, selection, size),
             selection,
             self._list_others(declared.name, now),
         )
@@ -182,23 +188,32 @@
         self,
         route: routetables.Route,
         priority: int,
+        admission: routeexplanation.AdmissionExplanation | None,
         selection: serverselection.Selection,
         size: requestwork.ExpectedSize | None,
     ) -> routeexplanation.AdmissionExplanation:
         """Explains whether the request would start now.
 
-        The decision of stream admission belongs here, before that on servers; it
-        fills ``streams``, ``capacity`` and ``wait_s``.
+        Args:
+            route: The request's route.
+            priority: Its priority.
+            admission: The decision of stream admission; ``None`` if it is not used.
+            selection: The choice of a server, which follows if the request starts.
+            size: Its expected size; ``None`` if servers are not compared by work.
         """
-        if selection.chosen is None:
+        is_held = admission and admission.decision != routeexplanation.STARTS
+        if selection.chosen is None and not is_held:
             refused = refusals.refuse_selection(
                 selection, size, self._shared.random_source
             )
-            return _explain_refusal(refused, priority)
+            return _explain_refusal(refused, priority, admission)
+        if admission is not None:
+            return admission
+        assert selection.chosen is not None
         server = selection.chosen.server
         too_late = self._shared.chooser.check_wait(route, server.service, server)
         if too_late is not None:
-            return _explain_refusal(too_late, priority)
+            return _explain_refusal(too_late, priority, None)
         return routeexplanation.AdmissionExplanation(priority=priority)
 
     def _list_others(
@@ -219,13 +234,16 @@
 
 
 def _explain_refusal(
-    refused: forwardrules.GivenUp, priority: int
+    refused: forwardrules.GivenUp,
+    priority: int,
+    admission: routeexplanation.AdmissionExplanation | None,
 ) -> routeexplanation.AdmissionExplanation:
+    """Explains a refusal that comes after stream admission, if that is used."""
     retry_after_s = refused.retry_after_s
-    return routeexplanation.AdmissionExplanation(
-        routeexplanation.REFUSED,
-        refused.reason.value,
-        refused.detail,
-        priority,
+    return dataclasses.replace(
+        admission or routeexplanation.AdmissionExplanation(priority=priority),
+        decision=routeexplanation.REFUSED,
+        reason=refused.reason.value,
+        detail=refused.detail,
         retry_after_s=round(retry_after_s, 2) if retry_after_s >= 0 else None,
     )
--- a/src/lycheegauge/internal/daemons/streamadmissions.py
+++ b/src/lycheegauge/internal/daemons/streamadmissions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import copy
 import dataclasses
 import itertools
 import math
@@ -15,6 +16,7 @@
     hostshares,
     loadnews,
     rosterview,
+    routeexplanation,
     routeindex,
     serverchoice,
     streamadmission,
@@ -289,9 +291,51 @@
         service.refused += 1
         self._metrics.count_admission_refusal(cause.value)
         self._log(service, now)
-        reason = REASONS.get(cause, work.RefusalReason.OVERLOADED)
-        detail = f"stream admission: {cause.value}"
-        return forwardrules.give_up(reason, work.RunState.NOT_RUN, after_s, detail)
+        return _make_refusal(cause, after_s)
+
+    def explain(
+        self,
+        service: str,
+        route: routetables.Route,
+        priority: int,
+        organisation: str,
+        size: controlcalls.RequestSize | None,
+    ) -> routeexplanation.AdmissionExplanation | None:
+        """Explains what admission would decide about a request that arrives now.
+
+        The decision is made on copies of all that it changes, apart from the random
+        state.
+
+        Args:
+            service: The request's service.
+            route: Its route.
+            priority: Its priority.
+            organisation: The organisation that sends it.
+            size: Its stated size.
+
+        Returns:
+            ``None`` if requests of its service are not subject to admission.
+        """
+        if service not in self._services:
+            return None
+        now, copied = clock.read_clock(), copy.copy(self)
+        copied._choice = self._choice.copy()
+        copied._numbers = itertools.count(1)
+        copied._services = {service: dataclasses.replace(self._services[service])}
+        times = now, now + route.timeout_s
+        ticket = copied.make_ticket(
+            service, route, priority, organisation, size, times, 0, str
+        )
+        if ticket is None:
+            return None
+        view = copied._make_view(ticket.service, now)
+        explained = ticket.service.gate.explain(ticket.stream, view, now)
+        refused = None
+        if explained.decision.verdict is streamadmission.Verdict.REFUSE:
+            cause = explained.decision.cause
+            refused = _make_refusal(cause, explained.retry_after_s)
+        age_s = copied._choice.get_counts_age_s(ticket.service.servers, now)
+        return routeexplanation.explain_admission(explained, priority, refused, age_s)
 
     # News that may let waiting requests start.
 
@@ -499,6 +543,12 @@
         ]
 
 
+def _make_refusal(cause: streamadmission.Cause, after_s: float) -> forwardrules.GivenUp:
+    reason = REASONS.get(cause, work.RefusalReason.OVERLOADED)
+    detail = f"stream admission: {cause.value}"
+    return forwardrules.give_up(reason, work.RunState.NOT_RUN, after_s, detail)
+
+
 def make_rules(
     table: routetables.RouteTable,
     declared: routetables.ServiceDeclaration,
--- a/src/lycheegauge/internal/explainroute.py
+++ b/src/lycheegauge/internal/explainroute.py
@@ -129,10 +129,13 @@
 
 def _format_admission(admission: dict[str, typing.Any]) -> str:
     parts = [admission["decision"], f"priority {admission['priority']}"]
-    if admission["capacity"] is not None:
-        parts.append(f"{admission['streams']:g} of {admission['capacity']:g} streams")
+    if admission["level"] is not None:
+        parts += _format_streams(admission)
     if admission["wait_s"]:
-        parts.append(f"expected wait {admission['wait_s']:.2f} s")
+        parts.append(
+            f"expected wait {admission['wait_s']:.2f} s, "
+            f"allowed {admission['wait_max_s']:.2f} s"
+        )
     if admission["reason"]:
         parts.append(admission["reason"])
     if admission["detail"]:
@@ -142,6 +145,28 @@
     return ", ".join(parts)
 
 
+def _format_streams(admission: dict[str, typing.Any]) -> list[str]:
+    """Formats what the admission of streams depends on."""
+    limit, headroom = admission["capacity"], admission["headroom"]
+    capacity = "no known capacity" if limit is None else f"capacity {limit:g}"
+    is_modelled = admission["pass_age_s"] is None
+    age = "modelled" if is_modelled else _format_age(admission["pass_age_s"])
+    parts = [
+        f"level {admission['level']} of {admission['levels']}",
+        f"{admission['streams']:g} streams open "
+        f"({_format_age(admission['streams_age_s'])})",
+        capacity,
+        f"pass {1000 * admission['pass_s']:.0f} ms ({age})",
+    ]
+    if headroom < 0:
+        parts.append(f"may exceed the capacity by {-headroom:g}")
+    else:
+        parts.append(f"headroom {headroom:g}")
+    if admission["ahead"]:
+        parts.append(f"{admission['ahead']} wait ahead")
+    return parts
+
+
 def _format_server(server: dict[str, typing.Any]) -> str:
     facts = []
     if server["busy"] is not None:
--- a/tests/steps/explainroute.py
+++ b/tests/steps/explainroute.py
@@ -1,16 +1,18 @@
 import asyncio
 import contextlib
 import copy
+import dataclasses
 import io
 import json
 import pickle
+import unittest.mock
 
 import behave
 from support import gatewayhost
 
 from lycheegauge import command, metrics, settings
 from lycheegauge.internal.daemons import metricslistener, routeexplainer
-from lycheegauge.internal.protocol import controlcalls
+from lycheegauge.internal.protocol import controlcalls, roster
 from lycheegauge.internal.transport import clock
 
 ENGINE = {"memory_tokens": 2000, "steps_per_event": 7, "stream_step_s": 0.001}
@@ -18,13 +20,19 @@
 LARGE = controlcalls.RequestSize(1990, 80)
 
 
-def run_with_host(check, servers=3):
+STREAM_ENGINE = {"step_s": 0.001, "steps_per_event": 1, "mean_answer_tokens": 400}
+QUEUE_LENGTH = 2
+
+
+def run_with_host(check, servers=3, **sections):
     """Runs a check with a host; its servers are never asked."""
+    choice = {"weigh_work": True}
+    given = {"repetition": "safe", "server_choice": choice, "engine": ENGINE}
 
     async def run():
         scripted = [gatewayhost.ScriptedServer(None) for _ in range(servers)]
         host = gatewayhost.GatewayHost(
-            scripted, "safe", 2, server_choice={"weigh_work": True}, engine=ENGINE
+            scripted, attempts_max=2, **{**given, **sections}
         )
         await host.start()
         try:
@@ -111,6 +119,129 @@
     run_with_host(check)
 
 
+def run_with_admission(check):
+    """Runs a check with a host whose group has four slots and two waiting places."""
+    admission = {"from_servers": 2, "queue_length": QUEUE_LENGTH}
+    run_with_host(
+        check, 2, repetition="stream", slots=2, engine=STREAM_ENGINE,
+        admission=admission,
+    )  # fmt: skip
+
+
+def enter(host):
+    """Starts a request's admission as the forwarding path does."""
+    admission, now = host.forwarder.admission, clock.read_clock()
+    route = host.forwarder.services.index.find_route(gatewayhost.HOST, "/x")
+    times = now, now + route.timeout_s
+    ticket = admission.make_ticket("drafting", route, None, "", SIZE, times, 0, str)
+    return ticket, asyncio.create_task(admission.enter(ticket))
+
+
+@behave.then("the explained admission is what the next request gets")
+def check_admission(context):
+    async def check(host):
+        entered, decisions = [], []
+        for _ in range(7):
+            explained = ask(host).services[0].admission
+            ticket, task = enter(host)
+            entered.append((ticket, task))
+            await asyncio.sleep(0)
+            decisions.append(explained.decision)
+            if explained.decision == "refused":
+                refused = await task
+                assert explained.reason == refused.reason.value == "queue_full"
+                assert explained.retry_after_s == round(refused.retry_after_s, 2) > 0
+            else:
+                assert task.done() == (explained.decision == "starts")
+            assert explained.streams == min(4, len(entered) - 1)
+            assert (explained.capacity, explained.level, explained.levels) == (4, 0, 1)
+            assert explained.ahead == min(QUEUE_LENGTH, max(0, len(entered) - 5))
+            assert (explained.pass_age_s, explained.headroom) == (None, 0)
+            assert explained.pass_s > 0 and explained.streams_age_s >= 0
+        assert decisions == ["starts"] * 4 + ["waits"] * QUEUE_LENGTH + ["refused"]
+        assert 0 < explained.wait_s < explained.wait_max_s <= 1.5
+        host.forwarder.admission.note_gap("drafting", 0.005, clock.read_clock())
+        _, out, _ = await ask_by_command(host)
+        assert "level 0 of 1, 4 streams open (" in out and "capacity 4" in out, out
+        assert "pass 5 ms (0.0" in out and "headroom 0, 2 wait ahead" in out, out
+        assert "queue_full" in out and "retry after " in out, out
+        for ticket, task in entered:
+            task.cancel()
+            host.forwarder.admission.leave(ticket)
+
+    run_with_admission(check)
+
+
+@behave.then("so it is for a host that uses what the others leave free")
+def check_allowance(context):
+    async def check(host):
+        share, at, running, decisions = host.forwarder.share, [0.0], [], set()
+        at[0] = now = clock.read_clock()
+        sequence = share.make_demand(now).sequence
+        share.apply_share(roster.HostShare(sequence, 0.5, 60.0, 0.0), now)
+        with unittest.mock.patch.object(clock, "read_clock", lambda: at[0]):
+            for _ in range(100):
+                at[0] += 0.05
+                decision = ask(host).services[0].admission.decision
+                ticket, task = enter(host)
+                await asyncio.sleep(0)
+                assert task.done() == (decision == "starts"), decisions
+                if len(running) == 3:
+                    decisions.add(decision)
+                running.append(ticket)
+                if decision == "waits":
+                    task.cancel()
+                if decision == "waits" or len(running) > 3:
+                    host.forwarder.admission.leave(running.pop())
+        assert decisions == {"starts", "waits"}
+
+    run_with_admission(check)
+
+
+@behave.then(
+    "no queue, allowance, rate, counter or random state of admission changes by asking"
+)
+def check_admission_unchanged(context):
+    def describe(forwarder):
+        admission = forwarder.admission
+        service = admission._services["drafting"]
+        known = [getattr(service, item.name) for item in dataclasses.fields(service)]
+        parts = [
+            *known,
+            forwarder.choice,
+            forwarder.random_source,
+            len(admission._tickets),
+        ]
+        return repr(admission._numbers), pickle.dumps(copy.deepcopy(parts))
+
+    async def check(host):
+        forwarder, now = host.forwarder, clock.read_clock()
+        entered = [enter(host) for _ in range(5)]
+        await asyncio.sleep(0)
+        gate = forwarder.admission._services["drafting"].gate
+        assert (gate.own, len(gate.waiting)) == (4, 1)
+        # The next decision renews all: gaps and updates have expired, the lists of
+        # servers are old, and the allowance's interval is over.
+        later = now + 0.8
+        for at in (now, now + 0.1, later):
+            gate.meter.note_gap(0.001, 1, at)
+        news = roster.LoadNews("gateway-2", 1, (roster.OpenRequests("server-0", 1),))
+        forwarder.choice.news.apply(news, now - 0.5)
+        before = describe(forwarder)
+        with (
+            unittest.mock.patch.object(forwarder.admission, "_metrics", None),
+            unittest.mock.patch.object(clock, "read_clock", lambda: later),
+        ):
+            for size in (SIZE, None, LARGE):
+                assert ask(host, size).services[0].admission.decision == "waits"
+        assert describe(forwarder) == before
+        for ticket, task in entered:
+            task.cancel()
+            forwarder.admission.leave(ticket)
+
+    run_with_admission(check)
+
+
 def run_command(address, *arguments):
     request = ("--host", address, "--request-host", gatewayhost.HOST, "--path", "/x")
     out, error = io.StringIO(), io.StringIO()
