Pass on no 429 or 503 of one server if another may have run the request

Cause, found in a review: a server's 429 without the statement that the request did not run is passed on. It is true of that server only. It won against a first attempt that was still running, was passed on while the copy ran, and was passed on after a first attempt that was reset. In all three the caller was told that the request had not run, and may have sent it again. A 503 after the last attempt was passed on likewise. Besides, a 500 of a first attempt whose copy answered was not counted as evidence against its server.

Change: with two attempts open, such an answer is not good, so the other is waited for. If none is good, or after an attempt that may have run, the request ends with 502 as unknown, or is repeated if the route allows it. The answer of a single attempt is passed on as before. A first attempt's server error is counted.

--- a/src/lycheegauge/internal/coordination/forwardrules.py
+++ b/src/lycheegauge/internal/coordination/forwardrules.py
@@ -36,6 +36,15 @@
     return Verdict.PASS_ON
 
 
+def says_not_run(status: int) -> bool:
+    """Tells whether a caller takes a status as a guarantee that nothing was run.
+
+    A server that answers so speaks for itself only. Such an answer is not passed on if
+    the request may have run at another server.
+    """
+    return status in _NOT_RUN_STATUSES
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GivenUp:
     """The final answer to a request that is refused.
@@ -62,6 +71,7 @@
     work.RefusalReason.REQUEST_TOO_LARGE: 413,
 }
 _NOT_RUN_STATUS = 503
+_NOT_RUN_STATUSES = (429, _NOT_RUN_STATUS)
 _UNKNOWN_STATUS = 502
 _TIMEOUT_STATUS = 504
 
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -241,7 +241,8 @@
             can_repeat = verdict is forwardrules.Verdict.REPEAT and (
                 self._can_repeat_elsewhere()
             )
-            if is_broken or can_repeat:
+            is_denied = was_run and forwardrules.says_not_run(head.status)
+            if is_broken or can_repeat or is_denied:
                 # A response that does not resume the stream must not become part of it.
                 is_complete = await responseforwarding.discard_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED)
--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -244,6 +244,8 @@
         if self._winner is not None and self._winner is not first:
             if failure is not None and ANSWERED_ELSEWHERE not in str(failure):
                 self._note_lost(first, str(failure))
+            elif self._has_failed(first):
+                self._shared.note_failure(first.server)
             return self._winner
         if failure is not None:
             raise failure
@@ -258,11 +260,21 @@
         verdict = calls.classify(head)
         if verdict is forwardrules.Verdict.PASS_ON:
             await read_first_part(calls.route, head, attempt)
+            if self._copy is not None and forwardrules.says_not_run(head.status):
+                # The other attempt may have run.
+                attempt.is_good = False
         elif attempt is self._copy and verdict is forwardrules.Verdict.NOT_RUN:
             calls.count_copy(-1)
         elif attempt is self._copy:
             self._shared.records.note_failure(attempt.server)
 
+    def _has_failed(self, attempt: Attempt) -> bool:
+        """Tells whether a server answered an attempt with an error of its own."""
+        head = attempt.head
+        return head is not None and (
+            self._calls.classify(head) is forwardrules.Verdict.REPEAT
+        )
+
     # The copy.
 
     def _look_again_after(self, delay_s: float) -> None:
--- a/tests/failures/hedging.feature
+++ b/tests/failures/hedging.feature
@@ -38,6 +38,20 @@
   Scenario: No copy is sent once the first attempt has failed
     Then a first attempt that is reset while its copy connects is repeated, not copied
 
+  # Guards against a refusal of a request that has run.
+  Scenario Outline: A server's 429 is not the answer if <case>
+    Then a 429 of one server does not reach the caller if <case>
+
+    Examples:
+      | case                                     |
+      | a copy gets it while the first runs      |
+      | the first gets it while its copy runs    |
+      | the first attempt was reset before       |
+
+  # Guards against failures that a copy hides from the evidence about servers.
+  Scenario: A first attempt that fails with 500 is evidence against its server
+    Then the evidence has the failure of a first attempt that its copy has answered
+
   # Guards against open requests that are never counted as ended, or ended twice.
   Scenario: Callers that leave at any moment leave no open request behind
     Then after 60 callers left while two servers answered no request counts as open
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -22,6 +22,7 @@
 """The usual times spread by this fraction, as those of equal length would all be as
 late as the 95th percentile."""
 REFUSAL = b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+DENIAL = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
 FAILURE = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -283,6 +284,43 @@
     assert (first.runs["/r-0"], second.runs["/r-0"]) == (1, 1)
 
 
+@behave.then("a 429 of one server does not reach the caller if {case}")
+def check_denied(context, case):
+    is_reset, is_copy = "reset" in case, "a copy" in case
+    servers = [support.DelayedServer("a", False, lambda: 0.3 if is_copy else 0.1)]
+    servers.append(support.DelayedServer("b", False, lambda: 0.1 if is_copy else 0.3))
+    servers[0].faults = [None] if is_reset else [] if is_copy else [DENIAL]
+    servers[1].faults = [DENIAL] if is_reset or is_copy else []
+
+    async def work(host):
+        support.make_late(host, threshold_s=1.0 if is_reset else 0.05)
+        host.forwarder.choice.note_sent("server-1")
+        return await support.send(host, 1, "r")
+
+    ((received, _),) = run_with(servers, "safe", work, attempts_max=2)
+    assert [server.runs["/r-0"] for server in servers] == [1, 1]
+    assert received.status == (502 if is_reset else 200), received
+
+
+@behave.then(
+    "the evidence has the failure of a first attempt that its copy has answered"
+)
+def check_evidence(context):
+    servers = [support.DelayedServer("a", False, lambda: 0.15)]
+    servers.append(support.DelayedServer("b", False, lambda: 0.3))
+    servers[0].faults = [FAILURE]
+    failed = []
+
+    async def work(host):
+        support.make_late(host)
+        host.forwarder.choice.note_sent("server-1")
+        host.forwarder.note_failure = lambda server: failed.append(server.name)
+        return await support.send(host, 1, "r")
+
+    ((received, _),) = run_with(servers, "safe", work, attempts_max=2)
+    assert (received.status, failed) == (200, ["server-0"]), (received, failed)
+
+
 class UnreadServer(support.DelayedServer):
     """Reads bodies only once it has answered: most of one waits at the host."""
 
