--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -245,7 +245,7 @@
             if failure is not None and ANSWERED_ELSEWHERE not in str(failure):
                 self._note_lost(first, str(failure))
             elif self._has_failed(first):
-                self._shared.note_failure(first.server)
+                self._shared.records.note_failure(first.server)
             return self._winner
         if failure is not None:
             raise failure
--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -236,7 +236,7 @@
     async def work(host):
         support.make_late(host)
         choice, size = host.forwarder.choice, requestwork.ExpectedSize(300, 100)
-        host.forwarder.expect_size = lambda service, headers: size
+        host.forwarder.services.expect_size = lambda service, stated: size
         choice.note_sent("server-1")
         asked = asyncio.create_task(support.send(host, 1, "r"))
         held = []
