--- a/tests/steps/hedging.py
+++ b/tests/steps/hedging.py
@@ -314,7 +314,7 @@
     async def work(host):
         support.make_late(host)
         host.forwarder.choice.note_sent("server-1")
-        host.forwarder.note_failure = lambda server: failed.append(server.name)
+        host.forwarder.records.note_failure = lambda server: failed.append(server.name)
         return await support.send(host, 1, "r")
 
     ((received, _),) = run_with(servers, "safe", work, attempts_max=2)
