--- a/src/lycheegauge/internal/daemons/relayedgroup.py
+++ b/src/lycheegauge/internal/daemons/relayedgroup.py
@@ -67,7 +67,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Surroundings:
+class GroupContext:
     """What a group's coordination needs beside the group's own state.
 
     Attributes:
@@ -111,31 +111,31 @@
 class RelayedGroup:
     """Owns the state of a large group during one appointment.
 
-    ``silent`` are the engines that could not be reached, ``strangers`` those that
+    ``silent`` are the engines that could not be reached, ``misassigned`` those that
     turned out to belong to another group.
 
     Args:
         name: The group's name.
         appointment: The appointment's number, from which the fences are made.
-        around: What it needs beside its own state.
+        context: What it needs beside its own state.
     """
 
-    def __init__(self, name: str, appointment: int, around: Surroundings) -> None:
+    def __init__(self, name: str, appointment: int, context: GroupContext) -> None:
         self.name = name
-        self._around = around
-        self._demand = partdemand.PartDemand(around.maps.demand_half_life_s)
+        self._context = context
+        self._demand = partdemand.PartDemand(context.maps.demand_half_life_s)
         now = clock.read_clock()
         self.state = groupstate.GroupState(
             mapswitch.MapSwitch(appointment), self._demand, now
         )
         self.silent: set[str] = set()
-        self.strangers: set[str] = set()
+        self.misassigned: set[str] = set()
         self._known: dict[str, engineroutes.Observation] = {}
         self._needs_all = True
         self._whole_at = -math.inf
         self._counts_at = -math.inf
         self._plan_task: asyncio.Task[_Plan | None] | None = None
-        self._log = switchlog.SwitchLog(name, self.state, around.record_switch)
+        self._log = switchlog.SwitchLog(name, self.state, context.record_switch)
         self._packed: tuple[int, bytes] = (mapswitch.NONE, b"")
         self._copy_wait_s = COPY_WAIT_MAX_S
         self._armings = holdahead.ArmingHistory()
@@ -177,7 +177,7 @@
         if orders:
             await self._send(orders, engines)
         self._note_arming()
-        self._log.log_phase(self._around.fanout.parts.round_s)
+        self._log.log_phase(self._context.fanout.parts.round_s)
         if longest_gap_s is not None and longest_gap_s > target_gap_s:
             self._log.log_late_events(
                 self._list_reports(), experts.layers, longest_gap_s
@@ -210,7 +210,7 @@
             self._counts_at = now
         # While no switch is under way, a report of the last second is good enough.
         is_relaxed = self.state.switch.is_idle and now - self._whole_at < RELAXED_S
-        reading = await self._around.fanout.observe(
+        reading = await self._context.fanout.observe(
             engines,
             wanted,
             maporders.EngineQuestion(has_counts, not self.state.placements),
@@ -231,7 +231,7 @@
     def _are_counts_due(self, now: float) -> bool:
         match self.state.switch.phase:
             case mapswitch.Phase.IDLE:
-                interval_s = COUNTS_DUE_FRACTION * self._around.maps.poll_interval_s
+                interval_s = COUNTS_DUE_FRACTION * self._context.maps.poll_interval_s
                 return now - self._counts_at >= interval_s
             case mapswitch.Phase.RELEASED:
                 return not self._is_counted_since_release
@@ -245,7 +245,7 @@
                 self._known[engine] = item
             else:
                 self._known.pop(engine, None)
-                self.strangers.add(engine)
+                self.misassigned.add(engine)
         self.silent -= observations.keys()
 
     def _add_counts(self, reading: rankfanout.Reading) -> None:
@@ -256,7 +256,7 @@
             key=lambda report: (report.epoch, report.step),
         )
         now = clock.read_clock()
-        with self._around.meter.measure("count_expert_choices"):
+        with self._context.meter.measure("count_expert_choices"):
             self._demand.add_sums(reading.sums, newest.epoch, newest.step, now)
 
     async def _keep_counting(
@@ -266,8 +266,10 @@
         """Reads the counts while experts are copied, until cancelled."""
         question = maporders.EngineQuestion(True)
         while True:
-            await asyncio.sleep(self._around.maps.poll_interval_s)
-            reading = await self._around.fanout.observe(engines, engines, question, 0.0)
+            await asyncio.sleep(self._context.maps.poll_interval_s)
+            reading = await self._context.fanout.observe(
+                engines, engines, question, 0.0
+            )
             self._add_counts(reading)
 
     def _list_reports(self) -> dict[int, maporders.EngineReport]:
@@ -323,7 +325,7 @@
 
     def _set_hold_ahead(self) -> None:
         lag_s = max((item.lag_s for item in self._known.values()), default=0.0)
-        round_s = self._around.fanout.parts.round_s
+        round_s = self._context.fanout.parts.round_s
         hold_ahead_s = max(HOLD_AHEAD_MIN_S, HOLD_AHEAD_ROUNDS * round_s)
         # Current reports are needed after the order to hold and after arming.
         hold_ahead_s += 2 * lag_s
@@ -331,7 +333,7 @@
         is_unreliable = now - self.state.unanswered_at < RECENTLY_UNANSWERED_S
         if is_unreliable:
             # A silent rank is read and ordered again before the pass is due.
-            hold_ahead_s += self._around.fanout.parts.compute_limit_s() + round_s
+            hold_ahead_s += self._context.fanout.parts.compute_limit_s() + round_s
         hold_ahead_s = self._armings.choose_hold_ahead(hold_ahead_s, is_unreliable, now)
         self.state.switch.set_hold_ahead(
             groupstate.choose_hold_ahead_steps(
@@ -448,13 +450,13 @@
         gains = groupstate.compute_gain_limits(
             state.pass_s, target_gap_s, state.may_copy
         )
-        with self._around.meter.measure("weigh_expert_maps"):
+        with self._context.meter.measure("weigh_expert_maps"):
             before = groupstate.sum_slowest_times(placements, loads, paces)
             total = sum(map(sum, loads))
         least = total / sum(1.0 / pace for pace in paces)
         if least > before * (1.0 - gains.total):
             return None
-        plan = await self._around.planner.plan(
+        plan = await self._context.planner.plan(
             engines,
             layerplanning.PlanTask(placements, loads, paces),
             experts,
@@ -486,7 +488,7 @@
         elif kind is maporders.MapOrderKind.PREPARE:
             counting = asyncio.create_task(self._keep_counting(engines))
             try:
-                replies = await self._around.fanout.order(
+                replies = await self._context.fanout.order(
                     engines,
                     {engine: item.order for engine, item in by_engine.items()},
                     self._pack_layers(orders[0].order),
@@ -495,7 +497,7 @@
             finally:
                 counting.cancel()
         else:
-            replies = await self._around.fanout.order(
+            replies = await self._context.fanout.order(
                 engines, {engine: item.order for engine, item in by_engine.items()}
             )
         now = clock.read_clock()
@@ -514,14 +516,14 @@
         """
         return {
             engine: maporders.MapOrderReply(
-                await self._around.routes.order(engine, item.order, engines)
+                await self._context.routes.order(engine, item.order, engines)
             )
             for engine, item in by_engine.items()
         }
 
     def _pack_layers(self, order: maporders.MapOrder) -> bytes:
         if self._packed[0] != order.version:
-            with self._around.meter.measure("pack_expert_maps"):
+            with self._context.meter.measure("pack_expert_maps"):
                 packed = packedmaps.pack_layers(order.layers)
             self._packed = (order.version, packed)
         return self._packed[1]
@@ -555,7 +557,7 @@
             return outdated_s
         phase = self.state.switch.phase
         if phase is mapswitch.Phase.IDLE:
-            return self._around.maps.poll_interval_s
+            return self._context.maps.poll_interval_s
         if phase is not mapswitch.Phase.RELEASED:
             return WAIT_INTERVAL_S
         if not self._is_counted_since_release:
--- a/src/lycheegauge/internal/daemons/relayedmaps.py
+++ b/src/lycheegauge/internal/daemons/relayedmaps.py
@@ -79,7 +79,7 @@
             lambda address: engineclient.EngineClient(dialect, address),
         )
         self._fanout = rankfanout.RankFanout(pool, agent_port, self._routes)
-        self._around = relayedgroup.Surroundings(
+        self._context = relayedgroup.GroupContext(
             self._fanout,
             self._routes,
             layerplanning.LayerPlanner(pool, agent_port, meter),
@@ -91,7 +91,7 @@
         self._group_names: dict[str, str] = {}
         self._sizes: dict[str, int] = {}
         self._small: set[str] = set()
-        self._strangers: set[str] = set()
+        self._misassigned: set[str] = set()
         self._discovery_due_at = -math.inf
 
     def close(self) -> None:
@@ -147,7 +147,7 @@
             silent |= {
                 server.name for server in members if server.address in group.silent
             }
-            self._release_strangers(group)
+            self._release_misassigned(group)
             paces += _list_slow(group, members)
             memories += _list_filled(group, members)
         if 2 * len(silent) > len(servers):
@@ -169,13 +169,13 @@
         for address in self._group_names.keys() - set(addresses):
             del self._group_names[address]
         self._small &= set(addresses)
-        self._strangers &= set(addresses)
+        self._misassigned &= set(addresses)
         unknown = {
             address
             for address in addresses
             if address not in self._group_names and address not in self._small
         }
-        unknown -= self._assign_missing(sorted(unknown - self._strangers))
+        unknown -= self._assign_missing(sorted(unknown - self._misassigned))
         now = clock.read_clock()
         if not unknown or now < self._discovery_due_at:
             return
@@ -186,7 +186,7 @@
         )
         for address, observation in reading.observations.items():
             report = observation.report
-            self._strangers.discard(address)
+            self._misassigned.discard(address)
             if report.size < self._maps.relayed_from_ranks:
                 self._small.add(address)
                 continue
@@ -194,7 +194,7 @@
             self._sizes[report.group] = report.size
             if report.group not in self._groups:
                 self._groups[report.group] = relayedgroup.RelayedGroup(
-                    report.group, self._appointment, self._around
+                    report.group, self._appointment, self._context
                 )
 
     def _assign_missing(self, addresses: list[str]) -> set[str]:
@@ -223,12 +223,12 @@
                 members.setdefault(name, []).append(server)
         return members
 
-    def _release_strangers(self, group: relayedgroup.RelayedGroup) -> None:
+    def _release_misassigned(self, group: relayedgroup.RelayedGroup) -> None:
         """Has the servers read again that turned out to be of another group."""
-        for address in group.strangers:
+        for address in group.misassigned:
             self._group_names.pop(address, None)
-            self._strangers.add(address)
-        group.strangers.clear()
+            self._misassigned.add(address)
+        group.misassigned.clear()
 
 
 def _list_slow(
