Give each test process a range of ports that no other one uses

Test processes took their range of ports by process id modulo 50, so two at the same time could have the same one, and their log hosts and gateways then mixed. A process now claims its range by listening on its first port.

--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -73,11 +73,31 @@
     raise AssertionError(f"timed out waiting for: {description}")
 
 
+def claim_port_range():
+    """Claims a range of ports for this process by listening on its first port.
+
+    Ranges were drawn by process id before; two test processes with the same one mixed
+    up their deployments, whose hosts then waited in vain for their shares of limits.
+    """
+    for offset in range(PORT_RANGE_COUNT):
+        number = (os.getpid() + offset) % PORT_RANGE_COUNT
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", FIRST_PORT + number * PORTS_PER_RANGE))
+            claim.listen(1)
+        except OSError:
+            claim.close()
+            continue
+        return number, claim
+    raise AssertionError("no range of ports is free")
+
+
 # Deployments that run concurrently on the same loopback interface are given a range.
-PORT_RANGE = int(
-    os.environ.get("LYCHEEGAUGE_PORT_RANGE", os.getpid() % PORT_RANGE_COUNT)
-)
-_next_port = itertools.count(FIRST_PORT + PORT_RANGE * PORTS_PER_RANGE)
+if "LYCHEEGAUGE_PORT_RANGE" in os.environ:
+    PORT_RANGE, _claim = int(os.environ["LYCHEEGAUGE_PORT_RANGE"]), None
+else:
+    PORT_RANGE, _claim = claim_port_range()
+_next_port = itertools.count(FIRST_PORT + PORT_RANGE * PORTS_PER_RANGE + 1)
 
 
 def reserve_ports(count):
