Ask the next log host for the leader before the ones that are down have timed out

Cause: an entry host that had lost the leader called the log hosts one after the other, waited 0.8 s for each that had no power and up to 0.4 s between two. If the new leader was elected just after the live ones had been asked, it was found only on the next round, 3.95 s after the loss on every host whose list held both lost hosts.

The hosts are asked for the leader with small calls that overlap, each 0.1 s after the one before, until one names it. A follower that does not know yet that the leader is lost names the lost one, which therefore counts only if nobody names another.

--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -24,8 +24,8 @@
 from lycheegauge.internal.transport import clock, controlapi, ingress, peers, web
 
 RETRY_INTERVAL_S = 0.1
-"""Delay after the first failed pull before the next host is asked, in seconds. It
-doubles with each further failure."""
+"""Delay after the first search that found no leader, in seconds. It doubles with each
+further one."""
 
 RETRY_INTERVAL_MAX_S = 0.4
 """Many entry hosts that search for a leader must not overload the log hosts."""
@@ -253,19 +253,21 @@
         return self._discovery.answer(hosts, self.forwarder.load.count_open_by_host())
 
     async def _keep_pulling(self) -> None:
-        retry_s = RETRY_INTERVAL_S
         while True:
             asked = self._client.address
-            is_answered = await self._pull_once()
-            if is_answered:
-                retry_s = RETRY_INTERVAL_S
+            if await self._pull_once():
                 await asyncio.sleep(self._pull_interval_s)
-            elif self._client.is_leader_known and self._client.address != asked:
-                # Callers may be waiting for updates; ask the named leader at once.
-                continue
             else:
-                await asyncio.sleep(retry_s)
-                retry_s = min(2 * retry_s, RETRY_INTERVAL_MAX_S)
+                await self._find_leader(asked)
+
+    async def _find_leader(self, asked: str) -> None:
+        """Waits for a leader; returns at once if it is another one than ``asked``."""
+        retry_s = RETRY_INTERVAL_S
+        while not (self._client.is_leader_known or await self._client.find_leader()):
+            await asyncio.sleep(retry_s)
+            retry_s = min(2 * retry_s, RETRY_INTERVAL_MAX_S)
+        if self._client.address == asked:
+            await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _pull_once(self) -> bool:
         """Pulls updates once; returns whether a leader answered."""
--- a/src/lycheegauge/internal/daemons/rosterclient.py
+++ b/src/lycheegauge/internal/daemons/rosterclient.py
@@ -3,6 +3,7 @@
 import loguru
 
 from lycheegauge import errors, settings
+from lycheegauge.internal.daemons import leadersearch
 from lycheegauge.internal.protocol import roster
 from lycheegauge.internal.protocol.generated import services_grpc
 from lycheegauge.internal.transport import peers
@@ -40,6 +41,7 @@
         self.hosts = [host for host in seeds if host != own_address]
         self.is_leader_known = False
         self._current = 0
+        self._lost = ""
 
     @property
     def address(self) -> str:
@@ -86,9 +88,11 @@
         try:
             reply = await self.pull_from(self.address, message)
         except errors.PeerUnreachableError:
+            self._lost = self.address
             self._current += 1
             self.is_leader_known = False
             raise
+        self._lost = ""
         if reply.proof is None:
             self.apply_hints(reply.leader_address, reply.log_hosts)
         elif set(reply.log_hosts) - set(self.hosts) - {self._own_address}:
@@ -113,23 +117,44 @@
         )
         return reply
 
-    async def find_log_hosts(self) -> roster.MembershipAnswer:
-        """Asks the next host for the addresses of the log hosts.
+    async def find_leader(self) -> bool:
+        """Asks the log hosts for their leader, but not the one that was lost just now.
 
-        Raises:
-            errors.PeerUnreachableError: The host did not answer in time.
+        Returns:
+            Whether the leader is known; the next pull goes to it.
         """
-        self._current += 1
-        if not self.hosts:
-            return roster.MembershipAnswer("", ())
+        start = self._current % len(self.hosts)
+        hosts = [*self.hosts[start:], *self.hosts[:start]]
+        others = [host for host in hosts if host != self._lost]
+        answer = await leadersearch.find_leader(
+            others, self._lost, self._list_log_hosts
+        )
+        if answer is None:
+            return False
+        self.apply_hints(answer.leader_address, answer.log_hosts)
+        return True
+
+    async def _list_log_hosts(self, host: str) -> roster.MembershipAnswer:
         answer: roster.MembershipAnswer = await self._pool.call(
-            self.address,
+            host,
             "find log hosts",
             lambda channel: services_grpc.RosterHostStub(channel).ListLogHosts,
             roster.MembershipQuestion(),
             LOG_HOSTS_TIMEOUT_S,
             drop_on_failure=True,
         )
+        return answer
+
+    async def find_log_hosts(self) -> roster.MembershipAnswer:
+        """Asks the next host for the addresses of the log hosts.
+
+        Raises:
+            errors.PeerUnreachableError: The host did not answer in time.
+        """
+        self._current += 1
+        if not self.hosts:
+            return roster.MembershipAnswer("", ())
+        answer = await self._list_log_hosts(self.address)
         known = dict.fromkeys([*answer.log_hosts, *self._seeds, *self.hosts])
         self.hosts = [host for host in known if host != self._own_address][:MAX_HOSTS]
         return answer
