--- a/tests/failures/serverstatements.feature
+++ b/tests/failures/serverstatements.feature
@@ -39,6 +39,28 @@
     And all of the requests are answered
     And the server is tried again by one request at a time
 
+  # Guards against more than two requests in the time that a server asked for, when the
+  # requests end before it answers.
+  Scenario Outline: A server's wait is heard after its callers <ending>
+    Given a server that refuses with Retry-After 3 after 0.3 seconds, beside two others
+    When callers send 40 requests a second for 4 seconds and <ending> after 0.15 seconds
+    Then each refusal is followed by at most 2 requests from 0.5 seconds to 3 seconds
+
+    Examples:
+      | ending         |
+      | leave          |
+      | set a deadline |
+
+  # Guards against statements in answers that a second copy has made needless.
+  Scenario: A server's wait is heard from the attempt that lost to its copy
+    Then a server that refuses after its copy was answered is left alone from then on
+
+  # Guards against requests to a leaving server whose callers leave before it answers.
+  Scenario: A server's departure is heard after the caller has left
+    Given a server that says after 0.3 seconds that it leaves, beside two others
+    When callers send 40 requests a second for 2 seconds and leave after 0.15 seconds
+    Then the leaving server gets no request later than 0.1 seconds after its first answer
+
   # Guards against requests that are held until servers take them.
   Scenario: Requests are refused at once when all servers ask for a time without them
     Given servers that all refuse with Retry-After 1.5
@@ -66,6 +88,11 @@
   Scenario: Hosts do not return to a server at the same moment (retry storm)
     Then 96 hosts that were told 2 seconds at once send at most 30 requests in any 0.1 s
 
+  # Guards against more than two requests in the time that a server asked for, when that
+  # is longer than any caller waits.
+  Scenario: A server is tried at most twice in the time that it asks for
+    Then a server that always refuses gets at most 2 requests in its time, for all times up to 60 s and deadlines from 0.5 s to 60 s
+
   # Guards against one malformed header that takes a sound server out for a minute.
   Scenario Outline: A wait that no caller outlasts ends with the callers' deadline
     Then a server with Retry-After <text> is tried <deadline_s> s after its answer, and later while it repeats it
--- a/tests/steps/serverstatements.py
+++ b/tests/steps/serverstatements.py
@@ -1,10 +1,12 @@
 import asyncio
+import contextlib
 import dataclasses
+import itertools
 import random
 import time
 
 import behave
-from support import gatewayhost
+from support import gatewayhost, hedging
 
 from lycheegauge.internal.coordination import serverstatements
 from lycheegauge.internal.protocol import roster
@@ -59,6 +61,29 @@
             writer.close()
 
 
+class LateServer(TalkingServer):
+    """Answers after a pause, also to a host that has closed its side."""
+
+    PAUSE_S = 0.3
+
+    def __init__(self, sent):
+        super().__init__(sent)
+        self.answered_at = []
+
+    async def _serve(self, reader, writer):
+        self._connections[asyncio.current_task()] = writer
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.arrivals.append(time.monotonic())
+                await asyncio.sleep(self.PAUSE_S)
+                self.answered_at.append(time.monotonic())
+                writer.write(self.sent)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+
 SOUND = OK + LENGTH % 2 + b"ok"
 
 
@@ -97,6 +122,29 @@
     context.servers = [TalkingServer(make_refusal(wait_s)) for _ in range(2)]
 
 
+@behave.given(
+    "a server that refuses with Retry-After {wait_s:g} after {late_s:g} seconds, "
+    "beside two others"
+)
+def make_refusing_late(context, wait_s, late_s):
+    context.repetition = "safe"
+    context.servers = [LateServer(make_refusal(wait_s)), LateServer(SOUND)]
+    context.servers.append(LateServer(SOUND))
+    for server in context.servers:
+        server.PAUSE_S = late_s
+
+
+@behave.given(
+    "a server that says after {late_s:g} seconds that it leaves, beside two others"
+)
+def make_leaving_late(context, late_s):
+    context.repetition = "safe"
+    context.servers = [LateServer(ANSWERS["success"]), LateServer(SOUND)]
+    context.servers.append(LateServer(SOUND))
+    for server in context.servers:
+        server.PAUSE_S = late_s
+
+
 @dataclasses.dataclass(frozen=True)
 class Result:
     received: gatewayhost.Received
@@ -131,14 +179,48 @@
     asyncio.run(send_all())
 
 
+@behave.when(
+    "callers send {rate:d} requests a second for {duration_s:d} seconds and {ending} "
+    "after {patience_s:g} seconds"
+)
+def send_impatient_requests(context, rate, duration_s, ending, patience_s):
+    deadline = (("Lycheegauge-Deadline-Ms", f"{1000 * patience_s:.0f}"),)
+
+    async def ask(host):
+        if ending == "set a deadline":
+            await gatewayhost.call(host.address, headers=deadline)
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(patience_s):
+                await gatewayhost.call(host.address)
+
+    async def send_all():
+        host = gatewayhost.GatewayHost(
+            context.servers, context.repetition, attempts_max=2
+        )
+        await host.start()
+        host.settle()
+        try:
+            tasks = []
+            for _ in range(rate * duration_s):
+                tasks.append(asyncio.create_task(ask(host)))
+                await asyncio.sleep(1 / rate)
+            await asyncio.gather(*tasks)
+        finally:
+            await host.close()
+
+    asyncio.run(send_all())
+
+
 @behave.then(
     "the leaving server gets no request later than {limit_s:g} seconds after its first "
     "answer"
 )
 def check_left_alone(context, limit_s):
-    arrivals = context.servers[0].arrivals
-    assert arrivals, "the server got no request"
-    assert arrivals[-1] - arrivals[0] <= limit_s, arrivals
+    server = context.servers[0]
+    answered_at = getattr(server, "answered_at", server.arrivals)
+    assert answered_at, "the server got no request"
+    assert server.arrivals[-1] - answered_at[0] <= limit_s, server.arrivals
 
 
 @behave.then("every later request is answered by the other server")
@@ -191,7 +273,7 @@
 )
 def check_asked_time(context, most, start_s, end_s):
     arrivals = context.servers[0].arrivals
-    for refused_at in arrivals:
+    for refused_at in getattr(context.servers[0], "answered_at", arrivals):
         count = sum(refused_at + start_s <= at < refused_at + end_s for at in arrivals)
         assert count <= most, (refused_at, count)
 
@@ -322,6 +404,51 @@
     assert statements.get_wait_s(server.incarnation, now) <= deadline_s + spread_s
 
 
+@behave.then(
+    "a server that refuses after its copy was answered is left alone from then on"
+)
+def check_lost_attempt(context):
+    servers = [LateServer(make_refusal(3)), TalkingServer(SOUND)]
+
+    async def ask():
+        host = hedging.make_host(servers, "safe", fraction=0.5)
+        await host.start()
+        host.settle()
+        hedging.make_late(host)
+        host.forwarder.choice.note_sent("server-1")
+        try:
+            received = await gatewayhost.call(host.address)
+            listing = host.forwarder.view.servers["server-0"]
+            may_send = host.forwarder.chooser.may_send
+            assert received.status == 200 and may_send(listing)
+            await asyncio.sleep(LateServer.PAUSE_S)
+            assert servers[0].answered_at and not may_send(listing)
+        finally:
+            await host.close()
+
+    asyncio.run(ask())
+
+
+@behave.then(
+    "a server that always refuses gets at most {most:d} requests in its time, for all "
+    "times up to {longest_s:d} s and deadlines from {from_s:g} s to {to_s:d} s"
+)
+def check_tries(context, most, longest_s, from_s, to_s):
+    deadlines = [from_s + step / 2 for step in range(2 * to_s)]
+    for asked_s, deadline_s in itertools.product(range(1, longest_s + 1), deadlines):
+        statements, server = make_statements(), make_server(1)
+        statements.set_longest_deadline(deadline_s)
+        now, sent = 0.0, []
+        while now < 3 * asked_s:
+            sent.append(now)
+            note(statements, server, now, 503, retry_after=str(asked_s))
+            now += statements.get_wait_s(server.incarnation, now)
+        for refused_at in sent:
+            end = refused_at + asked_s
+            count = sum(refused_at + 0.5 <= at < end for at in sent)
+            assert count <= most, (asked_s, deadline_s, sent)
+
+
 @behave.then(
     "a server with Retry-After {wait_s:d} is left alone for {same_s:d} s when callers "
     "wait for {deadline_s:d} s"
