Hear what a server states after its request has ended

What callers and servers saw: a server that refused after 0.3 s and asked for 3 s without requests got 32 of them within that time from one host (two are allowed), if its callers left after 0.15 s; a server that said so late that it leaves was used on. The wait and the departure were never read.

Cause: an attempt whose caller had left, whose deadline had passed, that lost to its copy or whose server was given up as silent was ended by closing its connection, so the answer was lost with what it states about the server.

Log lines tell what was heard late.

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -270,8 +270,9 @@
                 self._admission.size = brought.make_rest()
             if is_complete:
                 shared.pool.release(server.incarnation, connection)
+                shared.records.note_heard(server)
             else:
-                connection.abort()
+                shared.late_answers.end(server, connection)
 
     def _note_answered(
         self, route: routetables.Route, head: upstream.ResponseHead
--- a/src/lycheegauge/internal/daemons/forwarder.py
+++ b/src/lycheegauge/internal/daemons/forwarder.py
@@ -25,6 +25,7 @@
 from lycheegauge.internal.daemons import (
     crashprobes,
     hostload,
+    lateanswers,
     logupdates,
     serverchooser,
     serverrecords,
@@ -54,6 +55,7 @@
     Attributes:
         services: The declared services.
         records: Records what requests show of the servers.
+        late_answers: Hears the answers to attempts that were given up.
         chooser: Chooses the servers of requests.
         crash_probes: Finds out whether servers crashed.
         updates: Applies the updates from the log.
@@ -140,6 +142,7 @@
             self.dialect.headers,
         )
         self.pool.on_extra_data = self.records.note_extra_data
+        self.late_answers = lateanswers.LateAnswers(self.records)
         self.chooser = serverchooser.ServerChooser(
             view,
             services,
@@ -272,6 +275,7 @@
         await asyncio.gather(
             self.crash_probes.close(), *self.running, return_exceptions=True
         )
+        await self.late_answers.close()
         self.pool.close()
         if self.budget is not None:
             self.budget.close()
--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -2,8 +2,7 @@
 
 The first good answer wins: its whole body, or for a stream its first event. It is
 chosen before any byte is passed on to the caller. The other attempt's connection is
-aborted and never used again, and its request counts as open at its server until that
-has noticed.
+never used again, and its request counts as open at its server until that has noticed.
 """
 
 import asyncio
@@ -356,7 +355,7 @@
                 self._close_holder(copy)
         if copy.is_good and self._winner is None:
             self._winner = copy
-            self._first.connection.close_with_error(ANSWERED_ELSEWHERE)
+            self._first.connection.interrupt(ANSWERED_ELSEWHERE)
 
     def _send(self, copy: Attempt) -> bool:
         """Sends a copy if the budgets still allow it; returns whether they do."""
@@ -412,7 +411,7 @@
         is_won = kept is self._copy
         self._shared.metrics.count_hedge("won" if is_won else "lost")
         loser = self._first if is_won else self._copy
-        loser.connection.abort()
+        self._shared.late_answers.end(loser.server, loser.connection)
         if is_won and self._copy.connection.holder is not None:
             # The rest of the answer is counted and ended with the exchange.
             self._copy.connection.move_bytes(self._exchange.holder)
--- a/src/lycheegauge/internal/daemons/serverrecords.py
+++ b/src/lycheegauge/internal/daemons/serverrecords.py
@@ -78,18 +78,30 @@
         server: roster.ServerListing,
         brought: requestwork.RequestWork | None = None,
     ) -> None:
-        """Records that a request at a server ended."""
+        """Records that a request no longer loads a server."""
         self._choice.note_ended(server.name)
-        self._statements.note_ended(server.incarnation)
         if brought is not None:
             self._choice.memory.remove(brought)
         self._evidence.note_ended(server)
         self.on_load_changed()
 
+    def note_heard(self, server: roster.ServerListing) -> None:
+        """Records that no more will be heard of a request than what was noted."""
+        self._statements.note_ended(server.incarnation)
+
     def note_statement(
-        self, server: roster.ServerListing, head: upstream.ResponseHead
+        self,
+        server: roster.ServerListing,
+        head: upstream.ResponseHead,
+        is_late: bool = False,
     ) -> None:
-        """Records what a server's answer states about the server."""
+        """Records what a server's answer states about the server.
+
+        Args:
+            server: The server.
+            head: The head of the answer.
+            is_late: Whether its request had ended before; for the log.
+        """
         now, names = clock.read_clock(), self._names
         if self._services.weighs_work(server.service):
             stated = serverstatements.parse_load(head.get(names.server_load))
@@ -114,6 +126,7 @@
                 "a backend server says that it leaves",
                 server=server.name,
                 born_ms=server.born_ms,
+                is_late=is_late,
             )
         if statement.wait_s:
             loguru.logger.info(
@@ -121,6 +134,7 @@
                 server=server.name,
                 wait_s=statement.wait_s,
                 unreadable=statement.unreadable[:64],
+                is_late=is_late,
             )
 
     def note_answer(self, server: roster.ServerListing, sent_at: float) -> None:
--- a/src/lycheegauge/internal/daemons/silencewatch.py
+++ b/src/lycheegauge/internal/daemons/silencewatch.py
@@ -44,7 +44,7 @@
 
     def _check(self) -> None:
         if self._is_lost():
-            self._connection.close_with_error(SILENT_DETAIL)
+            self._connection.interrupt(SILENT_DETAIL)
             return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(CHECK_INTERVAL_S, self._check)
--- a/src/lycheegauge/internal/transport/boundedupstream.py
+++ b/src/lycheegauge/internal/transport/boundedupstream.py
@@ -85,6 +85,15 @@
         self._release()
         super().abort()
 
+    def hang_up(self) -> bool:
+        """Closes the sending side; what is read from now on is not counted."""
+        can_read = super().hang_up()
+        self._release()
+        return can_read
+
+    def _has_unsent(self, transport: asyncio.Transport) -> bool:
+        return bool(self._rest) or super()._has_unsent(transport)
+
     def _finish_response(self) -> None:
         if self._rest:
             # The next request would follow an incomplete body.
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -114,7 +114,9 @@
         self._informational_responses = 0
         self._waiter: asyncio.Future[None] | None = None
         self._failure = ""
+        self._interruption = ""
         self._is_busy = False
+        self._has_head = False
         self._is_reading_paused = False
         self._close_callback: typing.Callable[[], None] | None = None
 
@@ -197,6 +199,7 @@
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise errors.BorderError(str(error), "send request") from error
         self._is_busy = True
+        self._has_head = False
         self._informational_responses = 0
         self._method = head.method
         self.request_count += 1
@@ -209,6 +212,7 @@
             errors.BackendServerFailedError: The response is incomplete or malformed.
         """
         event = await self._next_event()
+        self._has_head = True
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers
@@ -250,6 +254,37 @@
         """Closes the connection; pending reads fail with the reason."""
         self._fail(reason)
 
+    def interrupt(self, reason: str) -> None:
+        """Makes pending reads fail with the reason; the connection stays open."""
+        self._interruption = reason
+        self._wake_waiter()
+
+    def hang_up(self) -> bool:
+        """Closes the sending side: the server stops its work, but may still answer.
+
+        Returns:
+            Whether the head of an answer can still be read. If not, the connection is
+            closed.
+        """
+        transport = self._transport
+        if (
+            transport is None
+            or transport.is_closing()
+            or self._failure
+            or self._has_head
+            or not self._is_busy
+            or self._has_unsent(transport)
+        ):
+            self.abort()
+            return False
+        self._interruption = ""
+        transport.write_eof()
+        return True
+
+    def _has_unsent(self, transport: asyncio.Transport) -> bool:
+        """Tells whether a part of the request has not been sent."""
+        return transport.get_write_buffer_size() > 0
+
     def abort(self) -> None:
         """Closes the connection at once, so that the server stops its work."""
         self._failure = self._failure or "aborted"
@@ -274,8 +309,9 @@
 
     async def _next_event(self) -> typing.Any:
         while not self._events:
-            if self._failure:
-                raise errors.BackendServerFailedError(self._failure, "read answer")
+            failure = self._failure or self._interruption
+            if failure:
+                raise errors.BackendServerFailedError(failure, "read answer")
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         return self._pop_event()
