Keep the one try of a server open when an earlier request there ends

What servers saw: after the time for which a server wanted no requests, several could try it at once. Cause: any request that ended at the server, also one sent before the wait, cleared the mark that one is trying it. Only requests sent since the end of the wait do so now.

--- a/src/lycheegauge/internal/coordination/serverstatements.py
+++ b/src/lycheegauge/internal/coordination/serverstatements.py
@@ -215,10 +215,17 @@
         if wait is not None:
             wait.is_trying = True
 
-    def note_ended(self, server: str) -> None:
-        """Records that a request at a server ended, with or without an answer."""
+    def note_ended(self, server: str, sent_at: float) -> None:
+        """Records that a request at a server ended, with or without an answer.
+
+        Requests from before the server's wait say nothing of the one that tries it.
+
+        Args:
+            server: The incarnation of the server.
+            sent_at: When the request was sent, in seconds.
+        """
         wait = self._waits.get(server)
-        if wait is not None:
+        if wait is not None and sent_at >= wait.ends_at:
             wait.is_trying = False
 
     def count_leaving(self) -> int:
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -221,7 +221,7 @@
             self._runs += 1
             answer = await self._read_answer(server, connection, brought)
             server, connection, head = answer.server, answer.connection, answer.head
-            brought = answer.brought
+            brought, sent_at = answer.brought, answer.sent_at
             assert head is not None
             was_run = was_run or self._copy_runs > 0
             self._check_response(server, head, connection)
@@ -270,9 +270,9 @@
                 self._admission.size = brought.make_rest()
             if is_complete:
                 shared.pool.release(server.incarnation, connection)
-                shared.records.note_heard(server)
+                shared.records.note_heard(server, sent_at)
             else:
-                shared.late_answers.end(server, connection)
+                shared.late_answers.end(server, connection, sent_at)
 
     def _note_answered(
         self, route: routetables.Route, head: upstream.ResponseHead
@@ -294,7 +294,9 @@
         brought: requestwork.RequestWork | None,
     ) -> hedgedattempt.Attempt:
         """Waits for an answer; if it is late, a copy at another server may answer."""
-        first = hedgedattempt.Attempt(server, connection, brought=brought)
+        first = hedgedattempt.Attempt(
+            server, connection, self._sent_at, brought=brought
+        )
         late_after_s = None
         if not self._exchange.is_started:
             late_after_s = self._hedging.get_late_after(self._route)
--- a/src/lycheegauge/internal/daemons/hedgedattempt.py
+++ b/src/lycheegauge/internal/daemons/hedgedattempt.py
@@ -48,6 +48,7 @@
     Attributes:
         server: The server.
         connection: The connection, which returns what was read ahead once more.
+        sent_at: When it was sent, in seconds.
         head: The head of the answer, once there is one.
         is_good: Whether the answer may be passed on to the caller.
         holder: Counts the bytes held for a copy; ``None`` if they are not counted, or
@@ -58,6 +59,7 @@
 
     server: roster.ServerListing
     connection: upstream.UpstreamConnection
+    sent_at: float
     head: upstream.ResponseHead | None = None
     is_good: bool = False
     holder: bytebudget.Holder | None = None
@@ -338,7 +340,7 @@
         except errors.PeerUnreachableError as error:
             self._calls.record_failure(server, str(error))
             return
-        copy = Attempt(server, connection)
+        copy = Attempt(server, connection, clock.read_clock())
         # This process may have been paused, and the server may have answered others.
         has_lease = shared.view.lease.allows_start(clock.read_clock())
         if not (has_lease and shared.chooser.may_send(server) and self._send(copy)):
@@ -411,7 +413,7 @@
         is_won = kept is self._copy
         self._shared.metrics.count_hedge("won" if is_won else "lost")
         loser = self._first if is_won else self._copy
-        self._shared.late_answers.end(loser.server, loser.connection)
+        self._shared.late_answers.end(loser.server, loser.connection, loser.sent_at)
         if is_won and self._copy.connection.holder is not None:
             # The rest of the answer is counted and ended with the exchange.
             self._copy.connection.move_bytes(self._exchange.holder)
--- a/src/lycheegauge/internal/daemons/lateanswers.py
+++ b/src/lycheegauge/internal/daemons/lateanswers.py
@@ -37,21 +37,23 @@
         self,
         server: roster.ServerListing,
         connection: upstream.UpstreamConnection,
+        sent_at: float,
     ) -> None:
         """Ends an attempt; its answer is heard if it has not begun.
 
         Args:
             server: The attempt's server.
             connection: The attempt's connection, which is closed in any case.
+            sent_at: When the request was sent, in seconds.
         """
         if len(self._tasks) >= LISTENERS_MAX:
             connection.abort()
         elif connection.hang_up():
-            task = asyncio.create_task(self._listen(server, connection))
+            task = asyncio.create_task(self._listen(server, connection, sent_at))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             return
-        self._records.note_heard(server)
+        self._records.note_heard(server, sent_at)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -64,6 +66,7 @@
         self,
         server: roster.ServerListing,
         connection: upstream.UpstreamConnection,
+        sent_at: float,
     ) -> None:
         ended = (TimeoutError, errors.BackendServerFailedError)
         try:
@@ -73,4 +76,4 @@
                 self._records.note_statement(server, head, is_late=True)
         finally:
             connection.abort()
-            self._records.note_heard(server)
+            self._records.note_heard(server, sent_at)
--- a/src/lycheegauge/internal/daemons/serverrecords.py
+++ b/src/lycheegauge/internal/daemons/serverrecords.py
@@ -85,9 +85,14 @@
         self._evidence.note_ended(server)
         self.on_load_changed()
 
-    def note_heard(self, server: roster.ServerListing) -> None:
-        """Records that no more will be heard of a request than what was noted."""
-        self._statements.note_ended(server.incarnation)
+    def note_heard(self, server: roster.ServerListing, sent_at: float) -> None:
+        """Records that no more will be heard of a request than what was noted.
+
+        Args:
+            server: The server.
+            sent_at: When the request was sent, in seconds.
+        """
+        self._statements.note_ended(server.incarnation, sent_at)
 
     def note_statement(
         self,
--- a/tests/failures/serverstatements.feature
+++ b/tests/failures/serverstatements.feature
@@ -55,6 +55,10 @@
   Scenario: A server's wait is heard from the attempt that lost to its copy
     Then a server that refuses after its copy was answered is left alone from then on
 
+  # Guards against several requests that try a server at the end of its wait.
+  Scenario: A request from before a wait leaves the try after it alone
+    Then a request from before a server's wait does not end the try after it
+
   # Guards against requests to a leaving server whose callers leave before it answers.
   Scenario: A server's departure is heard after the caller has left
     Given a server that says after 0.3 seconds that it leaves, beside two others
--- a/tests/steps/serverstatements.py
+++ b/tests/steps/serverstatements.py
@@ -404,6 +404,18 @@
     assert statements.get_wait_s(server.incarnation, now) <= deadline_s + spread_s
 
 
+@behave.then("a request from before a server's wait does not end the try after it")
+def check_earlier_request(context):
+    statements, server = make_statements(), make_server(1)
+    note(statements, server, 10.0, 503, retry_after="2")
+    tried_at = 10.0 + statements.get_wait_s(server.incarnation, 10.0)
+    statements.note_sent(server.incarnation)
+    statements.note_ended(server.incarnation, 9.0)
+    assert not statements.may_send(server.incarnation, tried_at + 0.1)
+    statements.note_ended(server.incarnation, tried_at)
+    assert statements.may_send(server.incarnation, tried_at + 0.2)
+
+
 @behave.then(
     "a server that refuses after its copy was answered is left alone from then on"
 )
