Try a server at most twice in the time that it asks for

What servers saw: a server that always refuses with Retry-After 5 was tried three times in that time if no route waits longer than 0.5 s, and one with 60 s three times at 8 s; two are allowed.

Cause: a wait beyond the longest timeout of the routes was cut to that, tried, and then doubled from there, so the number of tries grew with the ratio of the two. Class: a promise to a server bounded by what callers need.

The wait is cut once, so that one malformed header does not take a sound server out for a minute. If the server states it again after it was tried, it is kept in full.

--- a/src/lycheegauge/internal/coordination/serverstatements.py
+++ b/src/lycheegauge/internal/coordination/serverstatements.py
@@ -7,7 +7,6 @@
 
 import collections.abc
 import dataclasses
-import math
 import random
 
 from lycheegauge.internal.coordination import serverlimits
@@ -27,10 +26,6 @@
 """Hosts add a random part of a server's wait, at most this long, so that they don't all
 come back to it at the same moment."""
 
-REPEATS_MAX = 16
-"""Doublings of a wait that a server asks for again and again; more would exceed
-``WAIT_MAX_S`` in any case."""
-
 LEAVING_SERVERS_MAX = 10_000
 """Leaving servers that are remembered; the earliest ones are forgotten first."""
 
@@ -102,13 +97,20 @@
     """The time for which a server wants no request.
 
     After its end a single request tries the server, until an answer shows that it takes
-    requests again. ``repeats`` counts the longer waits that it asked for in a row and
-    that were cut short.
+    requests again.
+
+    Attributes:
+        ends_at: When it ends, in seconds.
+        is_trying: Whether a request tries the server.
+        is_cut: Whether the server asked for a longer time.
+        is_confirmed: Whether the server asked for a longer time once more, after a
+            request had tried it.
     """
 
     ends_at: float
     is_trying: bool = False
-    repeats: int = 0
+    is_cut: bool = False
+    is_confirmed: bool = False
 
 
 class ServerStatements:
@@ -130,8 +132,8 @@
         """Sets how long any caller waits at most, in seconds.
 
         A server may ask for more by mistake. After that time nobody is left to whom
-        the wait matters, so a single request tries the server; if it asks again, the
-        wait is doubled.
+        the wait matters, so a single request tries the server. If it asks again, it
+        means what it states.
         """
         self._longest_deadline_s = min(WAIT_MAX_S, deadline_s)
 
@@ -164,15 +166,18 @@
     def _note_wait(self, key: str, wait_s: float, now: float) -> None:
         wait = self._waits.get(key)
         if wait_s > 0.0:
-            repeats = wait.repeats if wait is not None else 0
-            is_over = wait is None or now >= wait.ends_at
-            longest_s = math.ldexp(self._longest_deadline_s, min(repeats, REPEATS_MAX))
-            if wait_s > longest_s:
-                wait_s, repeats = longest_s, repeats + is_over
+            is_confirmed = wait is not None and (
+                wait.is_confirmed or (wait.is_cut and now >= wait.ends_at)
+            )
+            is_cut = wait_s > self._longest_deadline_s and not is_confirmed
+            if is_cut:
+                wait_s = self._longest_deadline_s
             spread_s = min(SPREAD_MAX_S, wait_s * SPREAD_FRACTION)
             ends_at = now + wait_s + self._random.uniform(0.0, spread_s)
             if wait is None or ends_at > wait.ends_at:
-                self._waits[key] = _Wait(ends_at, repeats=repeats)
+                self._waits[key] = _Wait(
+                    ends_at, is_cut=is_cut, is_confirmed=is_confirmed
+                )
         elif wait is not None and now >= wait.ends_at:
             del self._waits[key]
 
