--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -21,6 +21,8 @@
 import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Two cases that run at the same time use different addresses.
+BLOCK = 32 + os.getpid() % 200
 ZONES = ("zone-a", "zone-b", "zone-c")
 HOST = "desk.example"
 KEY = "key-of-shop-1"
@@ -205,8 +207,8 @@
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             self.deploy = tomllib.load(file)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        core_ips = [f"127.31.1.{n + 1}" for n in range(cores)]
-        front_ips = [f"127.31.2.{n + 1}" for n in range(fronts)]
+        core_ips = [f"127.{BLOCK}.1.{n + 1}" for n in range(cores)]
+        front_ips = [f"127.{BLOCK}.2.{n + 1}" for n in range(fronts)]
         self.ips = core_ips + front_ips
         # The metrics of each role have a fixed port in the templates.
         (
