--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -239,6 +240,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def control_address(self, machine):
         return f"{machine.ip}:{self.control_port}"
@@ -314,7 +316,7 @@
     def __init__(self, fleet, record):
         self.fleet, self.record = fleet, record
 
-    async def send(self, what, method, path, body=b"", first=0, nodes=None, tries=30):
+    async def send(self, what, method, path, body=b"", first=0, nodes=None, tries=80):
         nodes = nodes or [self.fleet.control_address(item) for item in self.fleet.cores]
         pause_s = 0.05
         for number in range(tries):
