--- a/review/1/case.py
+++ b/review/1/case.py
@@ -103,7 +103,9 @@
         while number < REQUESTS_PER_S * (record.now() - started_at):
             number += 1
             front = fleet.fronts[number % len(fleet.fronts)]
-            tasks.append(asyncio.create_task(requester.request(front, f"b{number:06d}")))
+            tasks.append(
+                asyncio.create_task(requester.request(front, f"b{number:06d}"))
+            )
         await asyncio.sleep(0.002)
     await asyncio.wait(tasks, timeout=6.0)
     await asyncio.sleep(1.0)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,9 @@
     operator = fleets.Operator(fleet, record)
     await operator.put_manifest(fleets.make_manifest(7))
     replicas = [
-        fleets.Replica(fleet, record, f"i-{zone}", zone, f"127.{fleets.BLOCK}.3.{n + 1}")
+        fleets.Replica(
+            fleet, record, f"i-{zone}", zone, f"127.{fleets.BLOCK}.3.{n + 1}"
+        )
         for n, zone in enumerate(fleets.ZONES)
     ]
     for replica in replicas:
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -119,7 +119,6 @@
         )  # fmt: skip
         self.process = None
         self.app = None
-        self.starts = 0
 
     def make_fields(self):
         fleet = self.fleet
@@ -140,7 +139,8 @@
             "zone": self.zone, "region": "region-1",
             "zones": dict.fromkeys(ZONES, "region-1"), "bind": bind,
             "internalPorts": [fleet.peer_port, fleet.peer_port + 15],
-            "seedNodes": fleet.seeds, "bootstrap": self.starts == 0,
+            "seedNodes": fleet.seeds,
+            "bootstrap": not (fleet.folder / f"data-{self.name}" / "identity").exists(),
             "dataDir": str(fleet.folder / f"data-{self.name}"), "app": self.app,
             "limits": {"memoryMb": 300, "maxFds": 4100},
             "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
@@ -155,7 +155,6 @@
         part = fleet.deploy["roles"][self.role]
         template = (ROOT / part["template"]).read_text()
         path = fleet.folder / f"{self.name}.conf"
-        # Each machine has the metrics port on its own address, so it need not differ.
         path.write_text(fill_template(template, self.make_fields()))
         log = open(fleet.folder / f"{self.name}.log", "ab")
         environment = {
@@ -168,7 +167,6 @@
         self.process = subprocess.Popen(
             part["run"].split(), cwd=ROOT, env=environment, stdout=log, stderr=log
         )
-        self.starts += 1
 
     def send_signal(self, number):
         self.process.send_signal(number)
@@ -242,6 +240,16 @@
                 process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def restart_ended(self):
+        """Starts processes that ended, as the platform does."""
+        for machine in self.machines:
+            process = machine.process
+            if process is not None and process.poll() is not None:
+                self.record.write(
+                    f"{machine.name} ended with {process.poll()}; restarted"
+                )
+                machine.start()
+
     def control_address(self, machine):
         return f"{machine.ip}:{self.control_port}"
 
@@ -294,7 +302,11 @@
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, int(port))
-            fields = {"Host": address, "Content-Length": str(len(body)), **dict(headers)}
+            fields = {
+                "Host": address,
+                "Content-Length": str(len(body)),
+                **dict(headers),
+            }
             if body:
                 fields.setdefault("Content-Type", "application/json")
             head = f"{method} {path} HTTP/1.1\r\n" + "".join(
@@ -327,6 +339,7 @@
             except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
                 text = type(error).__name__
                 self.record.write(f"operator: {what} at {address}: no answer ({text})")
+                self.fleet.restart_ended()
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, 0.5)
                 continue
@@ -389,7 +402,9 @@
 class Replica:
     """A sound plain back end: runs a request in ``work_s`` and announces itself."""
 
-    def __init__(self, fleet, record, name, zone, ip, service="order-desk", work_s=0.02):
+    def __init__(
+        self, fleet, record, name, zone, ip, service="order-desk", work_s=0.02
+    ):
         self.fleet, self.record = fleet, record
         self.name, self.zone, self.ip, self.service = name, zone, ip, service
         self.work_s = work_s
@@ -539,7 +554,9 @@
                 f"{self.prefix}{attempt}", body, headers, 4.0,
             )  # fmt: skip
             self.answers[attempt] = response.status
-            self.record.write(f"requester: {attempt} at {front.name}: {response.status}")
+            self.record.write(
+                f"requester: {attempt} at {front.name}: {response.status}"
+            )
             return response
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self.answers[attempt] = type(error).__name__
