Log refusals by servers, and which connection carried each request

Callers got 503 for requests that had run, and some requests ran twice. The log showed neither the refusals by servers nor the connections, so three explanations looked alike: the server refused and ran the request after all, the host sent it again, or an earlier refusal was read once more.

"attempt refused" is a new event, with the connection's number and the time from sending to the answer. "request sent" names the connection and how many requests it has carried.

--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -206,6 +206,7 @@
             self._runs + self._refusals + 1,
             self._admission.deadline,
             self._response.last_event_id,
+            connection,
         )
         brought = shared.records.note_sent(server, self._admission.size)
         self._tried_servers.add(server.name)
@@ -230,6 +231,7 @@
                 self._may_have_run = was_run
                 self._runs -= 1
                 self._refusals += 1
+                self._record.write_refused(server, head, connection, sent_at)
                 is_complete = await responseforwarding.discard_body(connection)
                 return self._give_up(work.RefusalReason.BACKEND_SERVERS_FULL)
             has_failed = head.status >= forwardrules.SERVER_ERROR_MIN
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -42,6 +42,7 @@
         attempt: int,
         deadline: float,
         resumed_after: str,
+        connection: upstream.UpstreamConnection,
     ) -> None:
         """Logs the server that an attempt is sent to, and why it was chosen."""
         shared, now = self._shared, clock.read_clock()
@@ -59,6 +60,27 @@
                 shared.view.get_lease_left(now),
                 round((deadline - now) * 1000),
                 resumed_after,
+                connection.number,
+                connection.request_count + 1,
+            )
+        )
+
+    def write_refused(
+        self,
+        server: roster.ServerListing,
+        head: upstream.ResponseHead,
+        connection: upstream.UpstreamConnection,
+        sent_at: float,
+    ) -> None:
+        """Logs that a server did not run an attempt."""
+        answered_ms = round((clock.read_clock() - sent_at) * 1000)
+        events.write_event(
+            events.AttemptRefused(
+                self._request_id,
+                server.name,
+                head.status,
+                connection.number,
+                answered_ms,
             )
         )
 
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -39,6 +39,9 @@
         left_ms: Remaining time until the caller's deadline.
         resumed_after: Id of the last event passed on; empty unless a stream is
             resumed.
+        connection: Number of the connection, unique in this process.
+        connection_requests: Number of requests that the connection has carried,
+            including this one.
     """
 
     service: str
@@ -51,6 +54,25 @@
     lease_left_s: float
     left_ms: int
     resumed_after: str
+    connection: int
+    connection_requests: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptRefused(Event):
+    """A server answered that it did not run the request.
+
+    Attributes:
+        server: The server.
+        status: HTTP status of the answer.
+        connection: Number of the connection, unique in this process.
+        answered_ms: Time from sending the request to the answer.
+    """
+
+    server: str
+    status: int
+    connection: int
+    answered_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -10,6 +10,7 @@
 import collections.abc
 import dataclasses
 import enum
+import itertools
 import re
 import socket
 import typing
@@ -90,6 +91,8 @@
     """One connection, which carries one request at a time.
 
     Attributes:
+        number: The connection's number, unique in this process.
+        request_count: The number of requests sent.
         is_ambiguous: Whether a second copy of its last answer could not be told from
             the next answer.
         holder: Counts the bytes held for the current request; ``None`` if they are
@@ -98,7 +101,10 @@
             second copy of an answer.
     """
 
+    _numbers = itertools.count(1)
+
     def __init__(self) -> None:
+        self.number = next(self._numbers)
         self.holder: bytebudget.Holder | None = None
         self.has_extra_data = False
         self.idle_since = 0.0
--- a/tests/failures/foreignanswers.feature
+++ b/tests/failures/foreignanswers.feature
@@ -13,6 +13,12 @@
       | an answer without its request's id      |
       | a refusal without its request's id      |
 
+  # Without it, a refusal that a server sent cannot be told from a copy of one.
+  Scenario: The log names the connection of each refusal by a server
+    Given a server that refuses every request
+    When a caller sends two requests that may run once, one after the other
+    Then each refusal is logged with the number of its connection
+
   Scenario: Answers of a server that never names the request are passed on
     Given a server whose answers never name their request
     When a caller sends two requests that may run once, one after the other
--- a/tests/steps/foreignanswers.py
+++ b/tests/steps/foreignanswers.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import behave
+import loguru
 from support import gatewayhost
 
 REFUSAL = b"HTTP/1.1 503 Full\r\nLycheegauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -65,6 +66,14 @@
     context.servers = [RepeatingServer(None, context.runs, names_requests=False)]
 
 
+@behave.given("a server that refuses every request")
+def make_refusing(context):
+    context.runs = []
+    context.servers = [
+        gatewayhost.ScriptedServer(lambda *_: gatewayhost.Reply(REFUSAL))
+    ]
+
+
 @behave.when("a caller sends two requests that may run once, one after the other")
 def send_two(context):
     async def send():
@@ -80,7 +89,12 @@
         finally:
             await host.close()
 
-    context.received = asyncio.run(send())
+    context.logged = []
+    sink = loguru.logger.add(lambda line: context.logged.append(line.record))
+    try:
+        context.received = asyncio.run(send())
+    finally:
+        loguru.logger.remove(sink)
 
 
 @behave.then("the second caller does not get the first one's answer")
@@ -98,3 +112,14 @@
 @behave.then("both requests are answered with their own answer")
 def check_both(context):
     assert [item.body for item in context.received] == [b"first", b"second"]
+
+
+@behave.then("each refusal is logged with the number of its connection")
+def check_refusals_logged(context):
+    refused = [
+        record["extra"]
+        for record in context.logged
+        if record["message"] == "attempt refused"
+    ]
+    assert {fields["request_id"] for fields in refused} == {"first", "second"}
+    assert all(fields["connection"] > 0 for fields in refused), refused
