Send each order to an engine on a connection of its own

What callers would see: a group that stands still or passes with two maps, if a rank refuses an order and its agent reports it as done.

Engines' answers name no request, and an agent sent orders and reads on one kept connection, so a late second copy of any answer with status 200 was taken for the answer to the next order.

An order now has a new connection, which nothing else uses, so no earlier answer can arrive on it.

--- a/src/lycheegauge/internal/daemons/engineclient.py
+++ b/src/lycheegauge/internal/daemons/engineclient.py
@@ -107,16 +107,20 @@
     async def _exchange(
         self, address: str, call: enginedialects.EngineCall
     ) -> tuple[int, bytes]:
-        connection = await self._pool.acquire(address, address)
+        # Answers carry no request id. On a new connection no late copy of another
+        # answer can be taken for the answer to an order; of a state it is merely old.
+        is_order = bool(call.body)
+        open_connection = self._pool.connect if is_order else self._pool.acquire
+        connection = await open_connection(address, address)
         is_complete = False
         try:
             fields: tuple[tuple[str, str], ...] = (("Host", address),)
-            if call.body:
+            if is_order:
                 fields += (
                     ("Content-Type", "application/json"),
                     ("Content-Length", str(len(call.body))),
                 )
-            method = "POST" if call.body else "GET"
+            method = "POST" if is_order else "GET"
             connection.send(
                 upstream.RequestHead(method, call.target, fields), call.body
             )
@@ -130,7 +134,7 @@
             is_complete = True
             return head.status, bytes(body)
         finally:
-            if is_complete:
+            if is_complete and not is_order:
                 self._pool.release(address, connection)
             else:
                 connection.abort()
--- a/tests/failures/upstream.feature
+++ b/tests/failures/upstream.feature
@@ -56,5 +56,10 @@
       | report   | ends within the document       |
       | report   | is refused with a whole report |
 
+  # Guards against a switch of maps that goes on although a rank refused its order.
+  Scenario: A late copy of an engine's answer is not taken for the answer to an order
+    Given an engine that accepts an order, and repeats that answer before it refuses one
+    Then the second order is reported as refused
+
   Scenario: An engine that does not answer does not delay its group
     Then an order is reported as unanswered within 0.15 seconds
--- a/tests/steps/upstream.py
+++ b/tests/steps/upstream.py
@@ -215,6 +215,45 @@
     raise AssertionError(f"read as {report}")
 
 
+@behave.given(
+    "an engine that accepts an order, and repeats that answer before it refuses one"
+)
+def make_repeating_engine(context):
+    accepted = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    conflict = accepted.replace(b"200 OK", b"409 Conflict")
+    connections = set()
+
+    def reply(fields, target):
+        connection = asyncio.current_task()
+        if not connections:
+            connections.add(connection)
+            return gatewayhost.Reply(accepted)
+        repeated = accepted if connection in connections else b""
+        return gatewayhost.Reply(repeated + conflict)
+
+    context.engine = gatewayhost.ScriptedServer(reply)
+
+
+@behave.then("the second order is reported as refused")
+def check_second_order(context):
+    async def order():
+        await context.engine.start()
+        dialect = enginedialects.get_dialect("native")
+        client = engineclient.EngineClient(dialect, context.engine.address)
+        sent = maporders.MapOrder(maporders.MapOrderKind.GO, 1, 1, step=5)
+        try:
+            return [(await client.order(sent)).outcome for _ in range(2)]
+        finally:
+            client.close()
+            await context.engine.close()
+
+    outcomes = asyncio.run(order())
+    assert outcomes == [
+        maporders.MapOrderOutcome.DONE,
+        maporders.MapOrderOutcome.CONFLICT,
+    ], outcomes
+
+
 @behave.then("an order is reported as unanswered within {limit_s:f} seconds")
 def check_silent_engine(context, limit_s):
     # A switch may send up to about ten orders in a row to each rank, and a pause
