Log what each committed change of the control API says

Callers were sent to servers in a zone after its evacuation had been acknowledged. The log named the kind of each committed change, not its content, so these looked alike: entry hosts that act on old restrictions, a change that was lost with a leader, and an order that was carried out late.

"committed" now has the change's fields, except documents.

--- a/src/lycheegauge/internal/daemons/controlgate.py
+++ b/src/lycheegauge/internal/daemons/controlgate.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import json
+import typing
 import zlib
 
 import loguru
@@ -184,10 +185,23 @@
             )
             return _make_unavailable(str(outcome.failure()))
         loguru.logger.info(
-            "committed", change=kind, revision=self._host.routing.revision
+            "committed",
+            change=kind,
+            revision=self._host.routing.revision,
+            **_describe_change(change),
         )
         return controlapi.Response(OK, b"{}")
 
 
+def _describe_change(change: changes.Change) -> dict[str, typing.Any]:
+    """Returns the fields of a change for the log, without documents."""
+    fields = dataclasses.asdict(change)
+    return {
+        f"change_{name}": value
+        for name, value in fields.items()
+        if not isinstance(value, bytes)
+    }
+
+
 def _make_unavailable(reason: str) -> controlapi.Response:
     return controlapi.Response(UNAVAILABLE, reason.encode())
