Carry out calls without a version only while their clients wait

What callers saw: requests reached servers in a zone, for good, although the newest acknowledged order was to evacuate it.

Cause: an order to end an evacuation has no version. A follower that had stood still read it after its client had left, relayed it, and the leader committed it after newer orders ("committed" in the leader's log, at the moment at which the follower woke). A departure notice without an incarnation and the clearing of a crashing part are of the same kind: the leader looked up what they meant when it carried them out, so a late one hit the server's next incarnation or newer crashes.

Such a call is now resolved first: the leader confirms that it leads and returns a change that names what it was made for (the zone's version, the server's incarnation, the boots that crashed). The host that the call came to passes the change on only if its client still waits: it has not closed the connection, and less than a second has passed since the call may have arrived at the earliest. That bound comes from the rounds of the log's own loop, so a process that stood still knows that what it reads may be old. A change for an older version of a zone is void; every accepted order makes a new version, also one that leaves the zone as it is.

Why it works: what the client sends later is resolved later, so of a late change and a newer one the first that is committed makes the other void. It holds for a late call in the socket, between hosts and in the leader; a closed connection that is not seen, as behind a cut link, is no gap. An order that is not carried out is answered 503, which makes its client send it again. Orders A, B, A of a live client are three versions, so they end in A.

--- a/src/lycheegauge/internal/daemons/control.py
+++ b/src/lycheegauge/internal/daemons/control.py
@@ -27,6 +27,8 @@
             self.host.deliver,
             self.host.pull,
             self.gate.handle_relayed,
+            self.gate.relative_calls.resolve,
+            self.gate.relative_calls.commit,
             self.host.handle_membership_question,
         )
         self._peer_server = peers.PeerServer(part.peer_address, [service])
--- a/src/lycheegauge/internal/daemons/controlgate.py
+++ b/src/lycheegauge/internal/daemons/controlgate.py
@@ -2,19 +2,23 @@
 
 A follower relays to the leader every call that changes state or needs an
 up-to-date read. A call is acknowledged after its change is committed; a call that
-commits nothing makes no change that a failure could undo.
+commits nothing makes no change that a failure could undo. A call without a version of
+its own is carried out only while its client waits (``relativecalls``).
 """
 
 import dataclasses
 import json
-import typing
 import zlib
 
 import loguru
 from returns import result
 
 from lycheegauge import errors, settings
-from lycheegauge.internal.daemons import discoveryresponder, rosterhost
+from lycheegauge.internal.daemons import (
+    discoveryresponder,
+    relativecalls,
+    rosterhost,
+)
 from lycheegauge.internal.protocol import changes, controlcalls, roster
 from lycheegauge.internal.transport import clock, controlapi
 
@@ -45,12 +49,13 @@
     ) -> None:
         self._host = host
         self._dialect = dialect
+        self.relative_calls = relativecalls.RelativeCalls(host, dialect)
         self._entries = discoveryresponder.DiscoveryResponder(
             dialect, part.answer_valid_s
         )
 
     async def handle(
-        self, method: str, target: str, body: bytes
+        self, method: str, target: str, body: bytes, sender: controlapi.Sender
     ) -> controlapi.Response:
         """Answers a call that a client made to this host."""
         call = self._dialect.parse_call(method, target)
@@ -63,26 +68,42 @@
                 )
             case controlcalls.CheckReadiness():
                 return controlapi.Response(OK if self._host.leader_address else 503)
+        if self._is_relative(call, body):
+            relayed = roster.RelayedCall(method, target, body)
+            answer = await self.relative_calls.carry_out(relayed, sender)
+            return controlapi.Response(answer.status, answer.body)
         if self._host.task.is_leader:
             return await self._dispatch_call(call, body)
         return await self._relay(method, target, body)
 
+    def _is_relative(self, call: controlcalls.Call, body: bytes) -> bool:
+        departure = None
+        if isinstance(call, controlcalls.Leave):
+            departure = self._dialect.parse_departure(call.server, body)
+        return relativecalls.is_relative(call, departure)
+
     async def handle_relayed(self, call: roster.RelayedCall) -> roster.RelayedAnswer:
         """Answers a call that another host relayed, if this host is the leader."""
         decoded = self._dialect.parse_call(call.method, call.target)
         if decoded is None or not self._host.task.is_leader:
             return roster.RelayedAnswer(0)
+        if self._is_relative(decoded, call.body):
+            detail = b"the client of a call without a version must be known to wait"
+            return roster.RelayedAnswer(UNAVAILABLE, detail)
         answer = await self._dispatch_call(decoded, call.body)
         return roster.RelayedAnswer(answer.status, answer.body)
 
     async def _relay(
         self, method: str, target: str, body: bytes
     ) -> controlapi.Response:
+        relayed = roster.RelayedCall(method, target, body)
         try:
-            answer = await self._host.relay(roster.RelayedCall(method, target, body))
+            answer: roster.RelayedAnswer | None = await self._host.call_leader(
+                "relay", lambda stub: stub.Relay, relayed
+            )
         except errors.PeerUnreachableError as error:
             return _make_unavailable(f"the leader did not answer: {error}")
-        if not answer.status:
+        if answer is None or not answer.status:
             return _make_unavailable("no leader is known; retry later")
         return controlapi.Response(answer.status, answer.body)
 
@@ -94,17 +115,12 @@
                 return await self._put_table(body)
             case controlcalls.ReadTable():
                 return await self._read_table()
-            case controlcalls.SetZone():
-                change = changes.SetZoneOut(call.availability_zone, call.out)
-                return await self._commit(change)
             case controlcalls.Announce():
                 return await self._handle_announcement(call.server, body)
             case controlcalls.Leave():
                 return await self._handle_leave(call.server, body)
             case controlcalls.ListCrashingParts():
                 return await self._list_crashing_parts()
-            case controlcalls.ClearCrashingPart():
-                return await self._commit(changes.ClearPart(call.part, (), True, 0.0))
         return controlapi.Response(NOT_FOUND)
 
     async def _put_table(self, body: bytes) -> controlapi.Response:
@@ -166,9 +182,6 @@
 
     async def _handle_leave(self, server: str, body: bytes) -> controlapi.Response:
         departure = self._dialect.parse_departure(server, body)
-        if not departure.born_ms:
-            known = self._host.get_registry().find_server(server)
-            departure = roster.Departure(server, known.born_ms if known else 0)
         answer = await self._commit(
             changes.NoteDeparture(departure.server, departure.born_ms)
         )
@@ -186,22 +199,10 @@
             return _make_unavailable(str(outcome.failure()))
         loguru.logger.info(
             "committed",
-            change=kind,
-            revision=self._host.routing.revision,
-            **_describe_change(change),
+            **relativecalls.describe_change(change, self._host.routing.revision),
         )
         return controlapi.Response(OK, b"{}")
 
 
-def _describe_change(change: changes.Change) -> dict[str, typing.Any]:
-    """Returns the fields of a change for the log, without documents."""
-    fields = dataclasses.asdict(change)
-    return {
-        f"change_{name}": value
-        for name, value in fields.items()
-        if not isinstance(value, bytes)
-    }
-
-
 def _make_unavailable(reason: str) -> controlapi.Response:
     return controlapi.Response(UNAVAILABLE, reason.encode())
--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -233,7 +233,7 @@
         )
 
     async def _answer_readiness(
-        self, method: str, target: str, _: bytes
+        self, method: str, target: str, _body: bytes, _sender: controlapi.Sender
     ) -> controlapi.Response:
         call = self._dialect.parse_call(method, target)
         if not isinstance(call, controlcalls.CheckReadiness):
@@ -241,7 +241,7 @@
         return controlapi.Response(OK if self.is_ready else UNAVAILABLE)
 
     async def _answer_discovery(
-        self, method: str, target: str, _: bytes
+        self, method: str, target: str, _body: bytes, _sender: controlapi.Sender
     ) -> controlapi.Response:
         """Tells a caller where to connect, as long as this host's view is fresh."""
         call = self._dialect.parse_call(method, target)
--- a/src/lycheegauge/internal/daemons/metricslistener.py
+++ b/src/lycheegauge/internal/daemons/metricslistener.py
@@ -50,7 +50,9 @@
         if self._listener is not None:
             await self._listener.close()
 
-    async def _answer(self, method: str, target: str, _: bytes) -> controlapi.Response:
+    async def _answer(
+        self, method: str, target: str, _body: bytes, _sender: controlapi.Sender
+    ) -> controlapi.Response:
         parts = target.partition("?")
         path, query = parts[0], parts[2]
         if method == "GET" and path in self._pages:
--- a/src/lycheegauge/internal/daemons/replication.py
+++ b/src/lycheegauge/internal/daemons/replication.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from lycheegauge import errors
+from lycheegauge.internal.coordination import arrivals
 from lycheegauge.internal.coordination.agreement import repair, replica, timing
 from lycheegauge.internal.daemons import journalwriter, replicationrequests
 from lycheegauge.internal.protocol import agreement, changes, codec
@@ -33,6 +34,10 @@
 class ReplicationTask:
     """Runs one replica of the log.
 
+    Attributes:
+        machine: As given.
+        arrivals: Bounds when what is read now arrived, by the rounds of the loop.
+
     Args:
         journal: The data folder's journal; opened by ``start``.
         membership: The initial membership, from the settings.
@@ -66,6 +71,7 @@
         voters: int | None = None,
     ) -> None:
         self.machine = machine
+        self.arrivals = arrivals.ArrivalBounds()
         self._writer = journalwriter.JournalWriter(journal, executor, self._enqueue)
         self._membership = membership
         self._send = send
@@ -236,6 +242,7 @@
             timer.cancel()
             self._wakeup.clear()
             paused_s, self._round_at = self._clock() - self._round_at, self._clock()
+            self.arrivals.note_round(self._round_at)
             self._process_inbox()
             if self._failure is None and self._replica is not None:
                 self._perform_effects(self._replica.tick(self._clock()))
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -1,6 +1,7 @@
 """A log host of a forwarding deployment: log replica, roster and proofs."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import importlib
 import random
@@ -515,8 +516,18 @@
             settings.lease_s,
         )
 
-    async def relay(self, call: roster.RelayedCall) -> roster.RelayedAnswer:
-        """Relays a control call to the leader; returns status 0 if there is none.
+    async def call_leader(
+        self,
+        step: str,
+        method: collections.abc.Callable[[typing.Any], typing.Any],
+        message: typing.Any,
+    ) -> typing.Any | None:
+        """Calls the leader; returns ``None`` if this host knows no other as leader.
+
+        Args:
+            step: The purpose of the call, included in errors.
+            method: Returns the method of a stub.
+            message: The data class to send.
 
         Raises:
             errors.PeerUnreachableError: The leader did not answer in time; it
@@ -524,16 +535,15 @@
         """
         leader = self.leader_address
         if not leader or leader == self.address:
-            return roster.RelayedAnswer(0)
-        answer: roster.RelayedAnswer = await self._pool.call(
+            return None
+        return await self._pool.call(
             leader,
-            "relay",
-            lambda channel: services_grpc.RosterHostStub(channel).Relay,
-            call,
+            step,
+            lambda channel: method(services_grpc.RosterHostStub(channel)),
+            message,
             RELAY_TIMEOUT_S,
             drop_on_failure=True,
         )
-        return answer
 
     # Background tasks.
 
--- a/src/lycheegauge/internal/protocol/changes.py
+++ b/src/lycheegauge/internal/protocol/changes.py
@@ -218,10 +218,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetZoneOut:
-    """Takes an availability zone out of service or returns it to service."""
+    """Takes an availability zone out of service or returns it to service.
+
+    ``zone_version`` is the zone's version in the state that the change was made for.
+    The change conflicts if another one came between; 0 applies in any case.
+    """
 
     availability_zone: str
     out: bool
+    zone_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -314,6 +314,22 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResolvedCall:
+    """The change that a call asks for in the leader's current state.
+
+    Attributes:
+        status: 200; 503 if the state could not be confirmed, and 0 if this host is not
+            the leader.
+        change: The change, packed.
+        detail: Why there is none.
+    """
+
+    status: int
+    change: bytes = b""
+    detail: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayedAnswer:
     """The answer to a relayed call; status 0 means: this host is not the leader."""
@@ -335,6 +351,14 @@
     log_hosts: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneVersion:
+    """How many changes a zone has had, counted from 1."""
+
+    availability_zone: str
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutingState:
     """Snapshot of the routing part of the replicated state."""
@@ -343,3 +367,4 @@
     table: RouteDocument | None
     zones_out: tuple[str, ...]
     departures: tuple[Departure, ...]
+    zone_versions: tuple[ZoneVersion, ...] = ()
--- a/src/lycheegauge/internal/state/routing.py
+++ b/src/lycheegauge/internal/state/routing.py
@@ -34,22 +34,29 @@
         self.table: roster.RouteDocument | None = None
         self.restrictions = roster.Restrictions(0)
         self._zones_out: set[str] = set()
+        self._zone_versions: dict[str, int] = {}
         self._departures: collections.OrderedDict[roster.Departure, None] = (
             collections.OrderedDict()
         )
 
     def apply(self, change: changes.Change) -> changes.Outcome:
         """Applies one committed change."""
+        status = changes.ChangeStatus.ACCEPTED
         match change:
             case changes.PutRouteTable():
                 self._put_table(change)
             case changes.SetZoneOut():
-                self._set_zone(change)
+                if not self._set_zone(change):
+                    status = changes.ChangeStatus.CONFLICT
             case changes.NoteDeparture():
                 self._note_departure(change)
             case _:
                 raise TypeError(f"{type(change).__name__} is not a routing change")
-        return changes.RoutingOutcome(changes.ChangeStatus.ACCEPTED, self.revision)
+        return changes.RoutingOutcome(status, self.revision)
+
+    def get_zone_version(self, availability_zone: str) -> int:
+        """Returns the version of a zone, which each accepted change increments."""
+        return self._zone_versions.get(availability_zone, 1)
 
     def has_departed(self, departure: roster.Departure) -> bool:
         """Tells whether an incarnation of a backend server has departed."""
@@ -63,6 +70,10 @@
                 self.table,
                 tuple(sorted(self._zones_out)),
                 tuple(self._departures),
+                tuple(
+                    roster.ZoneVersion(*item)
+                    for item in sorted(self._zone_versions.items())
+                ),
             )
         )
 
@@ -77,6 +88,9 @@
         self.table = state.table
         self._zones_out = set(state.zones_out)
         self._departures = collections.OrderedDict.fromkeys(state.departures)
+        self._zone_versions = {
+            item.availability_zone: item.version for item in state.zone_versions
+        }
         self._publish_restrictions()
 
     def _put_table(self, change: changes.PutRouteTable) -> None:
@@ -84,15 +98,23 @@
             self.table = roster.RouteDocument(change.version, change.document)
             self.revision += 1
 
-    def _set_zone(self, change: changes.SetZoneOut) -> None:
-        if change.out == (change.availability_zone in self._zones_out):
-            return
+    def _set_zone(self, change: changes.SetZoneOut) -> bool:
+        """Sets the state of a zone; returns whether the change is accepted."""
+        zone = change.availability_zone
+        version = self.get_zone_version(zone)
+        if change.zone_version not in (0, version):
+            return False
+        # A change that leaves the zone as it is also makes older ones void.
+        self._zone_versions[zone] = version + 1
+        if change.out == (zone in self._zones_out):
+            return True
         if change.out:
-            self._zones_out.add(change.availability_zone)
+            self._zones_out.add(zone)
         else:
-            self._zones_out.discard(change.availability_zone)
+            self._zones_out.discard(zone)
         self.revision += 1
         self._publish_restrictions()
+        return True
 
     def _note_departure(self, change: changes.NoteDeparture) -> None:
         departure = roster.Departure(change.server, change.born_ms)
--- a/src/lycheegauge/internal/transport/controlapi.py
+++ b/src/lycheegauge/internal/transport/controlapi.py
@@ -10,7 +10,7 @@
 import tornado.web
 
 from lycheegauge import settings
-from lycheegauge.internal.transport import web
+from lycheegauge.internal.transport import clock, web
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,10 +22,23 @@
     content_type: str = "application/json"
 
 
+@dataclasses.dataclass(slots=True)
+class Sender:
+    """The client that sent a call.
+
+    Attributes:
+        read_at: When its call was read, in seconds.
+        has_left: Whether it has closed the connection without waiting for the answer.
+    """
+
+    read_at: float
+    has_left: bool = False
+
+
 Handler = collections.abc.Callable[
-    [str, str, bytes], collections.abc.Awaitable[Response]
+    [str, str, bytes, Sender], collections.abc.Awaitable[Response]
 ]
-"""Called with method, request target and body."""
+"""Called with method, request target, body and sender."""
 
 
 class CallHandler(web.BodyHandler):
@@ -34,6 +47,7 @@
     def initialize(self, handle: Handler, limits: settings.Limits) -> None:
         """Sets the function and the limits."""
         self._handle = handle
+        self._sender = Sender(clock.read_clock())
         self.set_limits(limits)
 
     async def get(self) -> None:
@@ -52,9 +66,15 @@
         """Responds to a DELETE request."""
         await self._answer()
 
+    def on_connection_close(self) -> None:
+        """Records that the client has left."""
+        super().on_connection_close()
+        self._sender.has_left = True
+
     async def _answer(self) -> None:
         method, target = str(self.request.method), str(self.request.uri)
-        answer = await self._handle(method, target, bytes(self.received_body))
+        body = bytes(self.received_body)
+        answer = await self._handle(method, target, body, self._sender)
         self.set_status(answer.status)
         self.set_header("Content-Type", answer.content_type)
         await self.finish(answer.body)
--- a/src/lycheegauge/internal/transport/services.py
+++ b/src/lycheegauge/internal/transport/services.py
@@ -59,11 +59,15 @@
         deliver: peers.Handler,
         pull: peers.Handler,
         relay: peers.Handler,
+        resolve: peers.Handler,
+        commit: peers.Handler,
         list_log_hosts: peers.Handler,
     ) -> None:
         self._deliver = deliver
         self._pull = pull
         self._relay = relay
+        self._resolve = resolve
+        self._commit = commit
         self._list_log_hosts = list_log_hosts
 
     async def Deliver(self, stream: typing.Any) -> None:  # noqa: N802
@@ -78,6 +82,14 @@
         """Handles a control call that a follower received and relayed."""
         await peers.answer_unary(stream, self._relay)
 
+    async def Resolve(self, stream: typing.Any) -> None:  # noqa: N802
+        """Returns the change that a call asks for in the current state."""
+        await peers.answer_unary(stream, self._resolve)
+
+    async def Commit(self, stream: typing.Any) -> None:  # noqa: N802
+        """Commits a change that a call was resolved to."""
+        await peers.answer_unary(stream, self._commit)
+
     async def ListLogHosts(self, stream: typing.Any) -> None:  # noqa: N802
         """Lists the log hosts."""
         await peers.answer_unary(stream, self._list_log_hosts)
--- a/tests/processes/forwarding.feature
+++ b/tests/processes/forwarding.feature
@@ -22,6 +22,13 @@
   Scenario: Acknowledged changes survive a kill of every log host
     Then a route table, a zone out and a departure survive a kill of all log hosts
 
+  # Guards against an order or a departure that is carried out after newer ones, because
+  # the host that it came to stood still until its client had left.
+  Scenario: A call that a log host reads after its client has left is not carried out
+    When a follower stands still, calls to it are sent again elsewhere and followed by newer ones, and it goes on
+    Then the zone that was taken out last stays out
+    And the server that started again after its departure is used
+
   Scenario: A log host that lost its disk becomes a voter again, and another may fail
     Then after a wipe and the loss of another log host the deployment still commits
 
--- a/tests/steps/peers.py
+++ b/tests/steps/peers.py
@@ -27,7 +27,7 @@
 @behave.given("a peer whose connection closes between its set-up and the call")
 def make_closing_peer(context):
     async def run():
-        service = services.RosterHostService(answer, answer, answer, answer)
+        service = services.RosterHostService(*[answer] * 6)
         server = peers.PeerServer("127.0.0.1:0", [service])
         address = await server.start()
         pool = peers.ChannelPool()
