Refuse announcements whose server can't be connected to or named

What callers saw: one announced entry with a port out of range, 0, negative, missing, no number, of thousands of digits or of other scripts, an IP number out of range or a host name that can't be one failed every request for which its server was chosen, with 503 "unexpected error: ValueError", though sound servers were there. A server's name with a control character failed them with 400. No process ended.

Cause: the native dialect took any text for an address, the platform's a pattern that does not bound the numbers and accepts digits of other scripts. Connecting then failed with errors that only the request's last handler caught.

Both dialects and the agents' announcements now check addresses and names where they are read. A process that is told of an impossible address by a log host of an older version leaves it out of its roster, from which requests, coordination, relays and load sharing take all addresses. Connecting to one anyway is a failed connection, so the request goes to another server.

--- a/src/lycheegauge/internal/coordination/rosterview.py
+++ b/src/lycheegauge/internal/coordination/rosterview.py
@@ -8,7 +8,7 @@
 import math
 
 from lycheegauge.internal.coordination import leases
-from lycheegauge.internal.protocol import roster
+from lycheegauge.internal.protocol import addresses, roster
 
 UNCONFIRMED_GRACE_S = 3.0
 """How long servers that only the previous leader listed are still used, in seconds.
@@ -132,6 +132,10 @@
         for name in reply.hosts_gone:
             self.hosts.pop(name, None)
         for server in reply.servers:
+            if not addresses.is_valid_address(server.address):
+                # From a log host of an older version, which checked less.
+                self.servers.pop(server.name, None)
+                continue
             self.servers[server.name] = server
             self._unconfirmed_until.pop(server.name, None)
             self._cold_until[server.name] = now + server.cold_s
--- a/src/lycheegauge/internal/protocol/announcements.py
+++ b/src/lycheegauge/internal/protocol/announcements.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from lycheegauge import errors, settings
-from lycheegauge.internal.protocol import calls
+from lycheegauge.internal.protocol import addresses, calls
 
 COUNT_MAX = 1_000_000
 """Highest number of requests that a report may contain."""
@@ -30,7 +30,7 @@
 
     service: calls.Identifier
     engine: calls.Identifier
-    address: calls.Identifier
+    address: addresses.ServerAddress
     boot_id: calls.Identifier
     capacity: int = pydantic.Field(ge=1, le=100_000)
     running: int = pydantic.Field(default=0, ge=0, le=COUNT_MAX)
--- a/src/lycheegauge/internal/protocol/nativedialect.py
+++ b/src/lycheegauge/internal/protocol/nativedialect.py
@@ -8,7 +8,13 @@
 from returns import result
 
 from lycheegauge import errors
-from lycheegauge.internal.protocol import bounds, controlcalls, roster, routetables
+from lycheegauge.internal.protocol import (
+    addresses,
+    bounds,
+    controlcalls,
+    roster,
+    routetables,
+)
 
 HEADERS = controlcalls.HeaderNames(
     request_id="Lycheegauge-Request-Id",
@@ -139,7 +145,7 @@
     """A backend server's announcement."""
 
     service: str
-    address: str
+    address: addresses.ServerAddress
     availability_zone: str
     born_ms: bounds.Identifier = 0
     sequence: bounds.Identifier
@@ -246,7 +252,7 @@
             model = AnnouncementModel.model_validate_json(body)
         except pydantic.ValidationError as error:
             return make_failure(error, "read announcement")
-        return result.Success(roster.ServerListing(name=server, **model.model_dump()))
+        return validate_listing(roster.ServerListing(name=server, **model.model_dump()))
 
     def parse_departure(self, server: str, body: bytes) -> roster.Departure:
         """Parses which incarnation leaves; ``born_ms`` is 0 if not given."""
@@ -290,6 +296,16 @@
     return routetables.Route(**values)
 
 
+def validate_listing(
+    listing: roster.ServerListing,
+) -> result.Result[roster.ServerListing, errors.BorderError]:
+    """Fails if the name of an announced server can't be sent in a header."""
+    if addresses.is_valid_name(listing.name):
+        return result.Success(listing)
+    message = "the server's name must be 1 to 256 visible Latin-1 characters"
+    return result.Failure(errors.BorderError(message, "read announcement"))
+
+
 def parse_part_list(header: str) -> tuple[str, ...]:
     """Returns the ids in a list of ``ID:TOKENS`` entries without the last one.
 
--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -510,14 +510,15 @@
         Raises:
             errors.PeerUnreachableError: No connection could be opened in time.
         """
-        host, port = peers.split_address(address)
         loop = asyncio.get_running_loop()
         try:
+            host, port = peers.split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     self._make_connection, host, port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # An address that can't be one fails in several ways.
             detail = f"connection failed: {type(error).__name__} {error}"
             raise errors.PeerUnreachableError(detail, "connect", address) from error
         open_connections = self._open_connections.setdefault(key, set())
--- a/tests/steps/hostilevalues.py
+++ b/tests/steps/hostilevalues.py
@@ -9,8 +9,10 @@
 from returns import result
 from support import gatewayhost
 
+from lycheegauge import errors
 from lycheegauge.internal.coordination import rosterregistry, routeindex
 from lycheegauge.internal.protocol import codec, controlcalls, enginedialects, roster
+from lycheegauge.internal.transport import upstream
 
 INT64_MAX = 2**63 - 1
 LARGEST = 1e15
@@ -208,3 +210,77 @@
 @behave.then("it is answered with status {status:d}")
 def check_status(context, status):
     assert context.received.status == status, context.received
+
+
+IMPOSSIBLE = {
+    "with a port out of range": "127.0.0.1:65536",
+    "with port 0": "127.0.0.1:0",
+    "with a negative port": "127.0.0.1:-1",
+    "without a port": "127.0.0.1",
+    "with a port that is no number": "127.0.0.1:http",
+    "with a port of 5000 digits": "127.0.0.1:" + "1" * 5000,
+    "with a port in Arabic digits": "127.0.0.1:\u0668\u0660",
+    "with an IP number out of range": "127.0.0.256:80",
+    "with a host name that can't be one": "a..b:80",
+    "without a host": ":80",
+}
+
+
+@behave.then("an announcement {problem} is refused in both dialects")
+def check_refused_address(context, problem):
+    for dialect in ("spejlhus", "native"):
+        document = copy.deepcopy(DOCUMENTS["an announcement", dialect])
+        parse = controlcalls.get_dialect(dialect).parse_announcement
+        sound = parse("server", json.dumps(document).encode())
+        assert isinstance(sound, result.Success), sound
+        document["address"] = IMPOSSIBLE.get(problem, document["address"])
+        name = "server" if problem in IMPOSSIBLE else "ser\x01ver"
+        read = parse(name, json.dumps(document).encode())
+        assert isinstance(read, result.Failure), (dialect, read)
+
+
+@behave.given(
+    "an entry host that is told of a sound server and of impossible addresses"
+)
+def make_impossible(context):
+    class Unstarted:
+        def __init__(self, address):
+            self.address = address
+
+        async def start(self):
+            pass
+
+        async def close(self):
+            pass
+
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    context.sound = gatewayhost.ScriptedServer(lambda *_: gatewayhost.Reply(whole))
+    context.servers = [context.sound, *map(Unstarted, IMPOSSIBLE.values())]
+
+
+@behave.then("all requests are answered by the sound server")
+def check_answered(context):
+    async def send():
+        host = gatewayhost.GatewayHost(context.servers, "unsafe", attempts_max=1)
+        await host.start()
+        try:
+            return [await gatewayhost.call(host.address) for _ in range(30)]
+        finally:
+            await host.close()
+
+    received = asyncio.run(send())
+    assert {item.status for item in received} == {200}, received
+
+
+@behave.then(
+    "connecting to an impossible address fails as connecting to a closed port does"
+)
+def check_connect(context):
+    async def connect(address):
+        try:
+            await upstream.ConnectionPool().acquire("server", address)
+        except errors.PeerUnreachableError as error:
+            return error
+
+    for address in ("127.0.0.1:1", *IMPOSSIBLE.values()):
+        assert asyncio.run(connect(address)) is not None, address
