Continue a stream only with the rest of one

What callers saw: a stream broke off, the next server answered with an error that had status 200, and its text, at times its whole head, stood in the middle of their stream; or an empty answer ended the stream as if it were complete.

Errors with a status of their own, redirects, 204, JSON and interim answers were kept out before, whatever framing the caller got and whether or not a server was left.

After a part of a stream a response must now give the type of an event stream if the stream began with one. Its blocks must have a field of an event; the first one that has none ends the attempt, after the events before it were passed on. An empty rest must give its type. Then another server continues, or the stream is broken off. Responses that begin a stream, and streams that may not be resumed, are passed on unchanged as before.

--- a/src/lycheegauge/internal/coordination/eventstream.py
+++ b/src/lycheegauge/internal/coordination/eventstream.py
@@ -11,6 +11,9 @@
 """Size limit of one event; a server may send one that never ends."""
 
 EVENT_END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+FIELD_LINE = re.compile(rb"(?:^|[\r\n])(?:(?:data|id|event|retry)(?![^:\r\n])|:)")
+"""A line of a field that the standard knows, or a comment."""
+
 ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
 
@@ -21,11 +24,15 @@
         last_id: Id of the last event returned; until then the id given at the
             start, which is empty by default.
         attempt_has_events: Whether the current attempt has sent a complete event.
+        is_malformed: Whether the current attempt, which continues the stream of an
+            earlier one, has sent something else than events.
     """
 
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
         self.attempt_has_events = False
+        self.is_malformed = False
+        self._continues = False
         self._buffer = b""
         self._count = 0
 
@@ -41,8 +48,15 @@
 
     def feed(self, data: bytes) -> bytes:
         """Adds bytes and returns all events that are now complete."""
+        if self.is_malformed:
+            return b""
         joined = self._buffer + data
         end = _find_last_event_end(joined)
+        if self._continues:
+            events_end = _find_other_block(joined[:end])
+            if events_end < end:
+                self.is_malformed = True
+                joined, end = joined[:events_end], events_end
         if end:
             self._count += count_events(joined[:end])
             self._update_last_id(joined[:end])
@@ -52,9 +66,15 @@
         self._buffer = joined[end:].lstrip(b"\r\n")
         return joined[: len(joined) - len(self._buffer)]
 
-    def begin_attempt(self) -> None:
-        """Discards an incomplete event of an earlier attempt that broke off."""
-        self.attempt_has_events = False
+    def begin_attempt(self, continues: bool = False) -> None:
+        """Discards an incomplete event of an earlier attempt that broke off.
+
+        Args:
+            continues: Whether the attempt continues what an earlier one has begun. Its
+                bytes are checked, as they may be an error instead.
+        """
+        self.attempt_has_events = self.is_malformed = False
+        self._continues = continues
         self._buffer = b""
 
     def pop_count(self) -> int:
@@ -75,6 +95,16 @@
     return sum(1 for _ in EVENT_END.finditer(events))
 
 
+def _find_other_block(events: bytes) -> int:
+    """Returns the offset of the first block without a field; the length for none."""
+    start = 0
+    for found in EVENT_END.finditer(events):
+        if not FIELD_LINE.search(events, start, found.end()):
+            return start
+        start = found.end()
+    return len(events)
+
+
 def _find_last_event_end(data: bytes) -> int:
     """Returns the offset after the last complete event; 0 if there is none."""
     if b"\r" not in data:
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -236,9 +236,7 @@
             has_failed = head.status >= forwardrules.SERVER_ERROR_MIN
             if has_failed:
                 shared.records.note_failure(server)
-            is_broken = self._exchange.is_started and not (
-                responseforwarding.is_event_stream(self._route, head)
-            )
+            is_broken = not self._response.may_forward(self._route, head)
             can_repeat = verdict is forwardrules.Verdict.REPEAT and (
                 self._can_repeat_elsewhere()
             )
--- a/src/lycheegauge/internal/daemons/responseforwarding.py
+++ b/src/lycheegauge/internal/daemons/responseforwarding.py
@@ -57,6 +57,7 @@
         self._suspicions: partdetector.Suspicions = {}
         self._first_written_at: float | None = None
         self._event_at: float | None = None
+        self._began_with_type = False
         self._brought: requestwork.RequestWork | None = None
         self.splitter: eventstream.EventSplitter | None = None
         self.is_settled = False
@@ -88,6 +89,19 @@
         self.is_settled, self._first_written_at = False, None
         self._event_at = None
 
+    def may_forward(
+        self, route: routetables.Route, head: upstream.ResponseHead
+    ) -> bool:
+        """Tells whether a response may follow what the caller has received.
+
+        After a part of a stream only the rest of one may, and an error that gives no
+        media type looks like one.
+        """
+        if not self._exchange.is_started:
+            return True
+        has_type = bool(head.get("content-type"))
+        return is_event_stream(route, head) and (has_type or not self._began_with_type)
+
     async def forward(
         self,
         route: routetables.Route,
@@ -158,7 +172,7 @@
         splitter = eventstream.EventSplitter()
         while part := await connection.read_chunk():
             self._count_events(splitter.feed(part))
-            _check_event_size(splitter)
+            _check_events(splitter)
             self._exchange.note_buffered(splitter.incomplete_bytes)
             if not self._exchange.is_started:
                 self._start(head)
@@ -177,18 +191,20 @@
             last_id = self._exchange.headers.get(name, "")
             self.splitter = eventstream.EventSplitter(last_id)
         splitter = self.splitter
-        splitter.begin_attempt()
+        continues = self._exchange.is_started
+        splitter.begin_attempt(continues)
         while part := await connection.read_chunk():
             events = splitter.feed(part)
             self._count_events(events)
-            _check_event_size(splitter)
             self._exchange.note_buffered(splitter.incomplete_bytes)
-            if not events:
-                continue
-            if not self._exchange.is_started:
-                self._start(head)
-            await self._write(events, connection, splitter.pop_count())
+            if events:
+                if not self._exchange.is_started:
+                    self._start(head)
+                await self._write(events, connection, splitter.pop_count())
+            _check_events(splitter)
         self._check_stream_end(head, splitter)
+        if continues and not splitter.attempt_has_events:
+            _check_empty_rest(head)
         if not self._exchange.is_started:
             self._start(head)
         self._exchange.finish()
@@ -247,6 +263,7 @@
         if self.splitter is not None:
             # Another server may send the rest of the stream, of any length.
             forwarded_headers.pop("Content-Length", None)
+        self._began_with_type = bool(head.get("content-type"))
         self._record.first_part_at = clock.read_clock()
         is_close_delimited = head.framing is upstream.Framing.CONNECTION
         self._exchange.start(
@@ -282,13 +299,27 @@
     return True
 
 
-def _check_event_size(splitter: eventstream.EventSplitter) -> None:
-    """Checks the size of an event that is not complete yet.
+def _check_events(splitter: eventstream.EventSplitter) -> None:
+    """Checks that a stream has sent events only, and none that is too large.
 
     Raises:
-        errors.BackendServerFailedError: It is over the size limit.
+        errors.BackendServerFailedError: It has sent something else.
     """
+    message = ""
     if splitter.is_oversized:
-        limit = eventstream.EVENT_MAX_BYTES
-        message = f"event larger than {limit} bytes"
+        message = f"event larger than {eventstream.EVENT_MAX_BYTES} bytes"
+    elif splitter.is_malformed:
+        message = "the rest of a stream holds something else than events"
+    if message:
+        raise errors.BackendServerFailedError(message, "read answer")
+
+
+def _check_empty_rest(head: upstream.ResponseHead) -> None:
+    """Checks that a response without an event says that a stream has ended.
+
+    Raises:
+        errors.BackendServerFailedError: It gives no media type, so it may be an error.
+    """
+    if not head.get("content-type"):
+        message = "the rest of a stream is empty and has no media type"
         raise errors.BackendServerFailedError(message, "read answer")
--- a/tests/failures/brokenanswers.feature
+++ b/tests/failures/brokenanswers.feature
@@ -42,6 +42,27 @@
       | shorter |
       | longer  |
 
+  # Guards against an error's text or head in the middle of a stream, and against one
+  # that is ended as complete because the next server's answer was.
+  Scenario Outline: A stream that broke off is not continued with <answer>
+    Given a stream that breaks off after two events, and a next server that sends <answer>
+    Then the caller gets the beginning of the stream, broken off, whatever its framing
+    And the whole stream if a third server continues it
+
+    Examples:
+      | answer                                  |
+      | an error                                |
+      | an error in chunks                      |
+      | an error that says event stream         |
+      | an interim answer and an error          |
+      | a redirect                              |
+      | no content                              |
+      | JSON                                    |
+      | text without a type                     |
+      | text that says event stream             |
+      | nothing without a type                  |
+      | an event and the head of an error       |
+
   # Guards against a regular close of a broken-off answer that has no length or chunks.
   Scenario: A broken-off answer does not look like an end to a caller without chunks
     Given a caller that speaks HTTP/1.0
--- a/tests/steps/brokenanswers.py
+++ b/tests/steps/brokenanswers.py
@@ -353,3 +353,77 @@
         received = asyncio.run(run_case(case, context.version))
         assert received.end in ("closed", "framed"), (case, received)
         assert received.body == case.whole, (case, received)
+
+
+TEXT = b"upstream connect error\n\nconnection termination\n\n"
+ERROR = b"HTTP/1.1 500 Failed\r\n"
+SIZED_TEXT = b"Content-Length: %d\r\n\r\n" % len(TEXT) + TEXT
+NOT_CONTINUED = {
+    "an error": ERROR + SIZED_TEXT,
+    "an error in chunks": ERROR
+    + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(TEXT), TEXT),
+    "an error that says event stream": ERROR + STREAM_TYPE + SIZED_TEXT,
+    "an interim answer and an error": b"HTTP/1.1 103 Hints\r\n\r\n"
+    + ERROR
+    + SIZED_TEXT,
+    "a redirect": b"HTTP/1.1 302 Found\r\nLocation: /\r\n" + SIZED_TEXT,
+    "no content": b"HTTP/1.1 204 None\r\n\r\n",
+    "JSON": STATUS_LINE + b"Content-Type: application/json\r\n" + SIZED_TEXT,
+    "text without a type": STATUS_LINE + SIZED_TEXT,
+    "text that says event stream": STATUS_LINE + STREAM_TYPE + SIZED_TEXT,
+    "nothing without a type": STATUS_LINE + b"Content-Length: 0\r\n\r\n",
+    "an event and the head of an error": STATUS_LINE
+    + STREAM_TYPE
+    + b"\r\n"
+    + EVENTS[2]
+    + ERROR
+    + SIZED_TEXT,
+}
+
+
+@behave.given(
+    "a stream that breaks off after two events, and a next server that sends {answer}"
+)
+def plan_answer(context, answer):
+    context.answer = gatewayhost.Reply(NOT_CONTINUED[answer], "close")
+
+
+async def call_broken(answer, framing, version, repetition, attempts_max):
+    """Calls a stream that is cut in its second event, then answered with a reply."""
+    cut = make_response(KINDS["stream"], framing, "in a later event", 0)
+    replies = iter((gatewayhost.Reply(cut, "reset"), answer))
+
+    def reply(fields, target):
+        resume_after = int(fields.get("last-event-id") or 0)
+        whole = make_response(KINDS["stream"], "chunks", "none", resume_after)
+        return next(replies, gatewayhost.Reply(whole))
+
+    servers = [gatewayhost.ScriptedServer(reply) for _ in range(3)]
+    host = gatewayhost.GatewayHost(servers, repetition, attempts_max)
+    await host.start()
+    try:
+        return await gatewayhost.call(host.address, version=version)
+    finally:
+        await host.close()
+
+
+@behave.then(
+    "the caller gets the beginning of the stream, broken off, whatever its framing"
+)
+def check_beginning(context):
+    for framing, version, repetition in itertools.product(
+        FRAMINGS, ("HTTP/1.1", "HTTP/1.0"), ("stream", "resumable_stream")
+    ):
+        call = call_broken(context.answer, framing, version, repetition, 2)
+        received = asyncio.run(call)
+        assert received.status == 200 and received.end == "broken", received
+        assert b"".join(EVENTS).startswith(received.body), received
+
+
+@behave.then("the whole stream if a third server continues it")
+def check_third(context):
+    for framing in ("a length", "chunks"):
+        call = call_broken(context.answer, framing, "HTTP/1.1", "resumable_stream", 3)
+        received = asyncio.run(call)
+        assert received.body == b"".join(EVENTS), received
+        assert received.end == "framed", received
