Test that a request sent again by its caller meets no copy of its refusal

A caller that uses its id again after a refusal asks for the same connection as a second attempt does.

--- a/tests/failures/foreignanswers.feature
+++ b/tests/failures/foreignanswers.feature
@@ -19,6 +19,11 @@
       | a refusal without its request's id      | run once    |
       | a refusal without its request's id      | be repeated |
 
+  Scenario: A late copy of a refusal is not the answer to the request that its caller sends again
+    Given a server that refuses three attempts and sends a copy of a refusal later
+    When its caller is refused and sends the request again with the same id
+    Then the request runs once and its caller gets the answer
+
   # Guards against a copy that is accepted because the request has no id to compare.
   Scenario: A late copy of an answer is not the answer to a request without an id
     Given a server that sends a second copy of an answer with its request's id when the next request arrives
--- a/tests/steps/foreignanswers.py
+++ b/tests/steps/foreignanswers.py
@@ -24,20 +24,21 @@
 class RepeatingServer(gatewayhost.ScriptedServer):
     """Sends a copy of a connection's first answer before the answer to its second.
 
-    If the copy is a refusal, the first request of all is refused.
+    If the copy is a refusal, the first attempts of all are refused.
     """
 
-    def __init__(self, copy, runs, names_requests=True):
+    def __init__(self, copy, runs, names_requests=True, refusals=1):
         super().__init__(self.reply)
         self.copy = copy
         self.runs = runs
         self.names_requests = names_requests
+        self.refusals = refusals
         self.first_answers = {}
 
     def reply(self, fields, target):
         request_id = fields.get("lycheegauge-request-id", "unnamed")
         connection = asyncio.current_task()
-        is_refused = self.copy in REFUSALS and not self.first_answers
+        is_refused = self.copy in REFUSALS and (len(self.first_answers) < self.refusals)
         if is_refused:
             answer = self.copy
         else:
@@ -87,6 +88,14 @@
     context.servers = [gatewayhost.ScriptedServer(reply)]
 
 
+@behave.given(
+    "a server that refuses three attempts and sends a copy of a refusal later"
+)
+def make_refusing_thrice(context):
+    context.runs = []
+    context.servers = [RepeatingServer(NAMED_REFUSAL, context.runs, refusals=3)]
+
+
 @behave.given("a server whose answers never name their request")
 def make_nameless(context):
     context.runs = []
@@ -144,6 +153,18 @@
     send_all(context, "unsafe", ("first", ""))
 
 
+@behave.when("its caller is refused and sends the request again with the same id")
+def send_same(context):
+    send_all(context, "unsafe", ("first", "first"))
+    assert context.received[0].status == 503, context.received
+
+
+@behave.then("the request runs once and its caller gets the answer")
+def check_sent_again(context):
+    assert context.runs == ["first"], context.runs
+    assert context.received[1].body == b"first", context.received
+
+
 @behave.then("the second caller does not get the first one's answer")
 def check_own_answer(context):
     first, second = context.received
