Count only requests with ids toward the end of a connection

Nobody saw harm; it cost connections. A connection was closed after 256 requests to bound the ids that it remembers, but requests without ids counted too: an agent reads its engine some 70 times a second, so it opened a connection every four seconds.

The bound is now on the ids remembered.

--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -43,9 +43,8 @@
 MAX_UNREAD_BYTES = 262_144
 """With more unread bytes of a response than this, reading from the server pauses."""
 
-REQUESTS_MAX = 256
-"""Requests after which a connection is closed. Until then the ids of all of them are
-remembered."""
+CARRIED_IDS_MAX = 256
+"""Request ids that a connection remembers. It carries no more requests after that."""
 
 INFORMATIONAL_RESPONSES_MAX = 8
 """Informational responses (status 1xx) accepted before the response to a request."""
@@ -189,7 +188,7 @@
             not self._failure
             and not self._is_busy
             and not self.is_ambiguous
-            and self.request_count < REQUESTS_MAX
+            and len(self._carried_ids) < CARRIED_IDS_MAX
             and self._transport is not None
         )
 
