Tell copies of engines' answers apart without a connection for each order

An order now follows a report on its kept connection; if the last exchange there was another one, the agent reads the state first. A faulty engine sends a copy when the next request arrives, so a copy of an order's answer meets a question for the state, for which it can't be read, and a copy of the state meets an order, whose answer it can't be. Either is refused and the connection closed; the order is then unanswered, which the coordinator treats as perhaps carried out.

--- a/src/lycheegauge/internal/daemons/engineclient.py
+++ b/src/lycheegauge/internal/daemons/engineclient.py
@@ -1,6 +1,7 @@
 """HTTP client for one engine, in the engine's own dialect."""
 
 import asyncio
+import weakref
 
 import loguru
 from returns import result
@@ -29,6 +30,10 @@
 class EngineClient:
     """Owns the connections to one engine.
 
+    Answers carry no request id, and a faulty engine may send one once more when the
+    next request arrives. An order therefore follows a report on its connection: a copy
+    of the report is not the answer to an order, nor the other way round.
+
     Args:
         dialect: The engine's HTTP calls and their formats.
         address: The engine's address.
@@ -38,6 +43,9 @@
         self._dialect = dialect
         self._address = address
         self._pool = upstream.ConnectionPool()
+        self._targets: weakref.WeakKeyDictionary[upstream.UpstreamConnection, str] = (
+            weakref.WeakKeyDictionary()
+        )
 
     def close(self) -> None:
         """Closes the connections."""
@@ -99,42 +107,67 @@
         address = self._address
         try:
             async with asyncio.timeout(ENGINE_TIMEOUT_S):
-                return await self._exchange(address, call)
+                connection = await self._pool.acquire(address, address)
+                is_complete = False
+                try:
+                    if call.body:
+                        await self._read_before_order(connection)
+                    answer = await self._exchange(connection, call)
+                    is_complete = True
+                    return answer
+                finally:
+                    if is_complete:
+                        self._pool.release(address, connection)
+                    else:
+                        connection.abort()
         except TimeoutError as error:
             message = "the engine did not answer in time"
             raise errors.PeerUnreachableError(message, "ask", address) from error
 
+    async def _read_before_order(self, connection: upstream.UpstreamConnection) -> None:
+        """Reads the engine's state unless the connection's last answer was one.
+
+        Raises:
+            errors.BackendServerFailedError: The answer is something else, such as a
+                late copy of the answer to an order.
+        """
+        call = self._dialect.make_report_call()
+        if connection.request_count and self._targets.get(connection) != call.target:
+            status, document = await self._exchange(connection, call)
+            if status != OK or not self._is_report(document):
+                message = "the engine answered a question for its state otherwise"
+                raise errors.BackendServerFailedError(message, "ask", self._address)
+
+    def _is_report(self, document: bytes) -> bool:
+        read = self._dialect.parse_report(document, None, None)
+        return isinstance(read, result.Success)
+
     async def _exchange(
-        self, address: str, call: enginedialects.EngineCall
+        self, connection: upstream.UpstreamConnection, call: enginedialects.EngineCall
     ) -> tuple[int, bytes]:
-        # Answers carry no request id. On a new connection no late copy of another
-        # answer can be taken for the answer to an order; of a state it is merely old.
-        is_order = bool(call.body)
-        open_connection = self._pool.connect if is_order else self._pool.acquire
-        connection = await open_connection(address, address)
-        is_complete = False
-        try:
-            fields: tuple[tuple[str, str], ...] = (("Host", address),)
-            if is_order:
-                fields += (
-                    ("Content-Type", "application/json"),
-                    ("Content-Length", str(len(call.body))),
-                )
-            method = "POST" if is_order else "GET"
-            connection.send(
-                upstream.RequestHead(method, call.target, fields), call.body
+        """Sends a call and reads the answer.
+
+        Raises:
+            errors.BackendServerFailedError: The answer was cut short, too large, or
+                the state of the engine instead of the answer to an order.
+        """
+        fields: tuple[tuple[str, str], ...] = (("Host", self._address),)
+        if call.body:
+            fields += (
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(call.body))),
             )
-            head = await connection.read_head()
-            body = bytearray()
-            while part := await connection.read_chunk():
-                body += part
-                if len(body) > DOCUMENT_MAX_BYTES:
-                    message = f"answer larger than {DOCUMENT_MAX_BYTES} bytes"
-                    raise errors.BackendServerFailedError(message, "ask", address)
-            is_complete = True
-            return head.status, bytes(body)
-        finally:
-            if is_complete and not is_order:
-                self._pool.release(address, connection)
-            else:
-                connection.abort()
+        method = "POST" if call.body else "GET"
+        self._targets[connection] = call.target
+        connection.send(upstream.RequestHead(method, call.target, fields), call.body)
+        head = await connection.read_head()
+        body = bytearray()
+        while part := await connection.read_chunk():
+            body += part
+            if len(body) > DOCUMENT_MAX_BYTES:
+                message = f"answer larger than {DOCUMENT_MAX_BYTES} bytes"
+                raise errors.BackendServerFailedError(message, "ask", self._address)
+        if call.body and self._is_report(bytes(body)):
+            message = "the engine answered an order with its state"
+            raise errors.BackendServerFailedError(message, "ask", self._address)
+        return head.status, bytes(body)
