Take events of a single field and blank lines for the rest of a stream

What callers would see: a resumed stream broken off at its second event, if the events consist of one line each, or at extra blank lines.

Found while reading the change.

"A stream that broke off is continued with any kind of event" failed before: of two events of one line the first arrived, and the stream was broken off. A change that is not committed is logged again, as before.

--- a/src/lycheegauge/internal/coordination/eventstream.py
+++ b/src/lycheegauge/internal/coordination/eventstream.py
@@ -99,7 +99,8 @@
     """Returns the offset of the first block without a field; the length for none."""
     start = 0
     for found in EVENT_END.finditer(events):
-        if not FIELD_LINE.search(events, start, found.end()):
+        block = events[start : found.end()].strip(b"\r\n")
+        if block and not FIELD_LINE.search(block):
             return start
         start = found.end()
     return len(events)
--- a/src/lycheegauge/internal/daemons/relativecalls.py
+++ b/src/lycheegauge/internal/daemons/relativecalls.py
@@ -154,15 +154,18 @@
         if not self._host.task.is_leader:
             return _refuse("this host is not the leader; retry")
         outcome = await self._host.task.propose(change)
+        described = describe_change(change, self._host.routing.revision)
         if isinstance(outcome, result.Failure):
-            return _refuse(str(outcome.failure()))
+            reason = str(outcome.failure())
+            loguru.logger.warning("change not committed", **described, reason=reason)
+            return _refuse(reason)
         accepted = typing.cast(
             changes.RoutingOutcome | changes.Acknowledgement, outcome.unwrap()
         )
         is_void = accepted.status is changes.ChangeStatus.CONFLICT
         loguru.logger.info(
             "change is void: another one came before it" if is_void else "committed",
-            **describe_change(change, self._host.routing.revision),
+            **described,
         )
         if is_void:
             return _refuse("another change came before it; send it again")
--- a/tests/failures/brokenanswers.feature
+++ b/tests/failures/brokenanswers.feature
@@ -63,6 +63,11 @@
       | nothing without a type                  |
       | an event and the head of an error       |
 
+  # Guards against events that are taken for something else.
+  Scenario: A stream that broke off is continued with any kind of event
+    Given a stream that breaks off, and a next server that sends lines of single fields, comments and blank lines
+    Then the caller gets the whole stream, byte for byte
+
   # Guards against a regular close of a broken-off answer that has no length or chunks.
   Scenario: A broken-off answer does not look like an end to a caller without chunks
     Given a caller that speaks HTTP/1.0
--- a/tests/steps/brokenanswers.py
+++ b/tests/steps/brokenanswers.py
@@ -427,3 +427,34 @@
         received = asyncio.run(call)
         assert received.body == b"".join(EVENTS), received
         assert received.end == "framed", received
+
+
+RESTS = (
+    b"data: x\n\ndata: y\n\n",
+    b"data\n\nid: 4\n\n",
+    b": still there\n\n\n\ndata: z\n\n",
+    b"\r\ndata: x\r\n\r\nretry: 5\r\n\r\nevent: e\rdata: y\r\r",
+    b"x-version: 4\nid: 3\ndata: x\n\n",
+)
+
+
+@behave.given(
+    "a stream that breaks off, and a next server that sends lines of single fields,"
+    " comments and blank lines"
+)
+def plan_rests(context):
+    head = STATUS_LINE + STREAM_TYPE
+    sizes = (head + b"Content-Length: %d\r\n\r\n" % len(rest) for rest in RESTS)
+    context.answers = [
+        gatewayhost.Reply(sized + rest)
+        for sized, rest in zip(sizes, RESTS, strict=True)
+    ]
+
+
+@behave.then("the caller gets the whole stream, byte for byte")
+def check_rests(context):
+    for answer, rest in zip(context.answers, RESTS, strict=True):
+        call = call_broken(answer, "chunks", "HTTP/1.1", "resumable_stream", 2)
+        received = asyncio.run(call)
+        assert received.end == "framed", (rest, received)
+        assert received.body == EVENTS[0] + EVENTS[1] + rest, (rest, received)
