--- a/tests/steps/brokenanswers.py
+++ b/tests/steps/brokenanswers.py
@@ -238,11 +238,13 @@
         assert received.body == EVENTS[0] + rest, received
 
 
-async def call_servers(servers, repetition, attempts_max, headers=()):
+async def call_servers(
+    servers, repetition, attempts_max, headers=(), version="HTTP/1.1"
+):
     host = gatewayhost.GatewayHost(servers, repetition, attempts_max)
     await host.start()
     try:
-        return await gatewayhost.call(host.address, headers=headers)
+        return await gatewayhost.call(host.address, headers=headers, version=version)
     finally:
         await host.close()
 
@@ -399,12 +401,7 @@
         return next(replies, gatewayhost.Reply(whole))
 
     servers = [gatewayhost.ScriptedServer(reply) for _ in range(3)]
-    host = gatewayhost.GatewayHost(servers, repetition, attempts_max)
-    await host.start()
-    try:
-        return await gatewayhost.call(host.address, version=version)
-    finally:
-        await host.close()
+    return await call_servers(servers, repetition, attempts_max, version=version)
 
 
 @behave.then(
