--- a/tests/properties/hostilevalues.feature
+++ b/tests/properties/hostilevalues.feature
@@ -21,7 +21,7 @@
     When a server announces itself with the sequence 9223372036854775808
     Then the hosts still get the other servers
 
-  # Guards against an entry that fails every request for which its server is chosen.
+  # Guards against an entry that fails every request that would be sent to its server.
   Scenario Outline: An announcement <problem> is refused
     Then an announcement <problem> is refused in both dialects
 
