--- a/review/lib2/smallsite.py
+++ b/review/lib2/smallsite.py
@@ -23,6 +23,9 @@
 import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+METRICS_PORT = 9102
+"""The port for metrics in the project's templates."""
+
 ZONES = ("zone-a", "zone-b", "zone-c")
 BOUNDS = {
     "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retrySlack": 94, "drainMs": 2000,
@@ -63,6 +66,19 @@
     return ports
 
 
+def find_network():
+    """Finds a part of the loopback range in which nobody uses the metrics' port."""
+    while True:
+        octet = random.randint(60, 250)
+        try:
+            for role in (1, 2):
+                with socket.socket() as trial:
+                    trial.bind((f"127.{octet}.{role}.1", METRICS_PORT))
+        except OSError:
+            continue
+        return octet
+
+
 class Record:
     """Lines of ``record.txt``: what was sent, answered and run."""
 
@@ -86,7 +102,7 @@
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        octet = random.randint(60, 250)
+        octet = find_network()
         ports = find_ports(5)
         self.control_port, self.peer_port, self.caller_port = ports[:3]
         self.ready_port, self.directory_port = ports[3:]
@@ -97,7 +113,7 @@
         self.gateways = [f"{ip}:{self.caller_port}" for ip in self.gateway_ips]
         self.memory_mb = memory_mb
         self.processes = {}
-        self.logs = {}
+        self.starts = {}
 
     def make_fields(self, role, name, ip, zone, bootstrap=False, app=None):
         fields = {
@@ -136,6 +152,7 @@
             stdout=log, stderr=log, stdin=subprocess.DEVNULL,
         )  # fmt: skip
         self.processes[name] = process
+        self.starts[name] = (role, name, ip, zone, bootstrap, app)
         self.record.write(f"platform starts {name} (role {role})")
         return process
 
@@ -158,6 +175,14 @@
         self.record.write(f"platform sends {signal.Signals(number).name} to {name}")
         self.processes[name].send_signal(number)
 
+    def restart_ended(self):
+        """Starts processes again that ended by themselves, as the platform does."""
+        for name, process in list(self.processes.items()):
+            if process.poll() is not None:
+                last = self.read_log(name).strip().split("\n")[-1][:300]
+                self.record.write(f"{name} ended with code {process.poll()}: {last}")
+                self.start(*self.starts[name])
+
     def record_state(self, ip):
         """Records why a gateway may not be ready."""
         self.record.write(f"the gateway at {ip} doesn't become ready")
@@ -417,6 +442,7 @@
                 status = 0
             if status == 200:
                 break
+            site.restart_ended()
             await asyncio.sleep(0.1)
     return True
 
@@ -463,11 +489,14 @@
     record.write(f"trouble: {trouble}")
 
     async def bounded():
-        return await asyncio.wait_for(case(record, trouble), 110.0)
+        # The processes are ended also if the script is.
+        task = asyncio.ensure_future(case(record, trouble))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(task, 110.0)
 
     try:
         code = asyncio.run(bounded())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case couldn't run: {type(error).__name__} {error}")
         code = 2
     record.write({0: "the rule held", 1: "the rule was broken"}.get(code, "not run"))
