Log what each crash and clearance brings to the quarantine, and the estimates

Operators saw that a request or a part of a prompt was refused, but not which crashes, frequencies and numbers of open requests led to it: "quarantine changed" named the kind of change alone. The line now has the whole change (server, boot, fingerprints or parts, evidence), and the gateway's line about a crash has, for each part, the estimated frequency, the open requests and the evidence that follow. No decision changes.

No test of its own: log lines only.

--- a/src/lycheegauge/internal/coordination/partdetector.py
+++ b/src/lycheegauge/internal/coordination/partdetector.py
@@ -32,6 +32,7 @@
 PARTS_PER_REQUEST_MAX = 32
 MAX_PENDING_REPORTS = 64
 MAX_PENDING_CLEARANCES = 256
+MAX_PENDING_ESTIMATES = 256
 
 Suspicions = dict[str, tuple[str, ...]]
 """The crashed boots by part, of suspected parts only."""
@@ -50,6 +51,24 @@
     open_requests: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartEstimate:
+    """What the evidence of one crash against one part was computed from.
+
+    Attributes:
+        part: The service and the part's id.
+        frequency: Estimated fraction of sound requests that have the part.
+        open_requests: Number of requests that may have been open at the server.
+        evidence: Negative decimal logarithm of the probability that one of them had
+            the part by chance.
+    """
+
+    part: str
+    frequency: float
+    open_requests: float
+    evidence: float
+
+
 class _AnswerCounts:
     """Counts answers by part over the last 30 to 60 seconds."""
 
@@ -83,6 +102,9 @@
         self._refused: frozenset[str] = frozenset()
         self._suspected: Suspicions = {}
         self._answers = _AnswerCounts()
+        self._estimates: collections.deque[PartEstimate] = collections.deque(
+            maxlen=MAX_PENDING_ESTIMATES
+        )
         self._pending_reports: dict[str, changes.ReportPartCrash] = {}
         self._pending_clearances: dict[str, changes.ClearPart] = {}
 
@@ -120,12 +142,24 @@
             return
         count = max(len(suspects), *(suspect.open_requests for suspect in suspects))
         evidence = tuple(self._weigh(part, count) for part in parts)
+        self._estimates.extend(
+            PartEstimate(
+                part, self._answers.estimate_frequency(part), count, part_evidence
+            )
+            for part, part_evidence in zip(parts, evidence, strict=True)
+        )
         self._pending_reports[server.incarnation] = changes.ReportPartCrash(
             server.name, str(server.born_ms), tuple(parts), evidence, 0.0
         )
         while len(self._pending_reports) > MAX_PENDING_REPORTS:
             del self._pending_reports[next(iter(self._pending_reports))]
 
+    def pop_estimates(self) -> tuple[PartEstimate, ...]:
+        """Returns the estimates of the crashes reported since the last call."""
+        estimates = tuple(self._estimates)
+        self._estimates.clear()
+        return estimates
+
     def _weigh(self, part: str, count: float) -> float:
         """Returns how improbable it is that a sound part was there, as -log10."""
         frequency = min(0.99, self._answers.estimate_frequency(part))
--- a/src/lycheegauge/internal/daemons/crashprobes.py
+++ b/src/lycheegauge/internal/daemons/crashprobes.py
@@ -1,6 +1,7 @@
 """Finds out whether servers crashed, after attempts there were aborted."""
 
 import asyncio
+import dataclasses
 
 import loguru
 
@@ -74,7 +75,7 @@
         """Compares the roster with the servers of aborted attempts."""
         listed, now = self._view.servers.values(), clock.read_clock()
         for report in self._detector.detect_restarts(listed, now):
-            _log_crash(report, "it restarted")
+            self._log_crash(report, "it restarted")
 
     async def close(self) -> None:
         """Cancels all probes."""
@@ -92,16 +93,19 @@
                 now = clock.read_clock()
                 report = self._detector.handle_refused_connection(server, now)
                 if report is not None:
-                    _log_crash(report, "its port is closed")
+                    self._log_crash(report, "its port is closed")
             return
         self._pool.release(server.incarnation, connection)
 
-
-def _log_crash(report: changes.ReportCrash, evidence: str) -> None:
-    loguru.logger.warning(
-        "a backend server crashed while it ran requests",
-        server=report.backend_server,
-        born_ms=report.boot_id,
-        evidence=evidence,
-        fingerprints=report.fingerprints,
-    )
+    def _log_crash(self, report: changes.ReportCrash, evidence: str) -> None:
+        loguru.logger.warning(
+            "a backend server crashed while it ran requests",
+            server=report.backend_server,
+            born_ms=report.boot_id,
+            evidence=evidence,
+            fingerprints=report.fingerprints,
+            parts=[
+                dataclasses.asdict(item)
+                for item in self._detector.parts.pop_estimates()
+            ],
+        )
--- a/src/lycheegauge/internal/daemons/rosterhost.py
+++ b/src/lycheegauge/internal/daemons/rosterhost.py
@@ -418,20 +418,27 @@
         for change in reported:
             if not await self._commit(change):
                 return False
-            loguru.logger.info(
-                "quarantine changed",
-                change=type(change).__name__,
-                version=self.quarantine.current.version,
-                refused=len(self.quarantine.current.refused),
-                suspects=len(self.quarantine.current.suspects),
-                parts_refused=[
-                    item.part
-                    for item in self.crashing_parts.current.parts
-                    if item.is_refused
-                ],
-            )
+            self._log_quarantine(change)
         return True
 
+    def _log_quarantine(self, change: changes.Change) -> None:
+        """Logs what a change brought to the quarantine."""
+        content = dataclasses.asdict(change)
+        content.pop("log_time_s", None)
+        loguru.logger.info(
+            "quarantine changed",
+            change=type(change).__name__,
+            **content,
+            version=self.quarantine.current.version,
+            refused=len(self.quarantine.current.refused),
+            suspects=len(self.quarantine.current.suspects),
+            parts_refused=[
+                item.part
+                for item in self.crashing_parts.current.parts
+                if item.is_refused
+            ],
+        )
+
     async def _commit(self, change: changes.Change) -> bool:
         """Commits a change; returns whether it is committed."""
         outcome = await self.task.propose(change)
