Note a departure of a server that the leader has forgotten

It had been cut off for longer than a lifetime, left when the cut healed, and a heartbeat that the cut had held up arrived after its departure.

Cause: the notice names no incarnation, so the leader looks it up, and it had removed the server.

Such a departure now names the wall clock of the leader that was told: no incarnation born before it is used. For 30 s after any departure an incarnation older than the one that left is neither listed nor used, so a heartbeat of an earlier start, or of a writer that names no start, brings no server back either. A later start is used at once; one whose clock was set back, after 30 s. Both facts are in the log, so a change of leader keeps them.

Tests: processes/departures failed before (the server that had left got requests) and passes; properties/departures plays each kind of old news against each kind of departure, with and without a change of leader.

--- a/src/lycheegauge/internal/coordination/rosterregistry.py
+++ b/src/lycheegauge/internal/coordination/rosterregistry.py
@@ -12,7 +12,11 @@
 import statistics
 import typing
 
-from lycheegauge.internal.coordination import enginememory, streamcapacity
+from lycheegauge.internal.coordination import (
+    departures,
+    enginememory,
+    streamcapacity,
+)
 from lycheegauge.internal.protocol import roster
 
 MAX_REMOVALS = 1024
@@ -80,6 +84,7 @@
     Attributes:
         source: As given.
         memories: What engines report of their memory.
+        departures: The servers that left.
 
     Args:
         source: Identifies this registry; cursors of other registries are not valid.
@@ -96,6 +101,7 @@
         self._removals: list[tuple[int, str, bool]] = []
         self._open_requests: dict[str, tuple[roster.OpenRequests, ...]] = {}
         self.memories = enginememory.ReportedMemories()
+        self.departures = departures.Departures(are_first_recent=True)
         self._open_totals: collections.Counter[str] = collections.Counter()
         self._open_tokens: collections.Counter[str] = collections.Counter()
         self._open_work_ms: collections.Counter[str] = collections.Counter()
@@ -116,6 +122,9 @@
         known = self._servers.get(listing.name)
         if known is not None and _is_older(listing, known.listing):
             return False
+        is_new = known is None or known.listing.incarnation != listing.incarnation
+        if is_new and self.departures.is_outdated(listing.name, listing.born_ms, now):
+            return False
         conflicting = self._find_address_conflict(listing)
         if conflicting is not None:
             if conflicting.born_ms > listing.born_ms:
--- a/src/lycheegauge/internal/coordination/rosterview.py
+++ b/src/lycheegauge/internal/coordination/rosterview.py
@@ -7,7 +7,7 @@
 import dataclasses
 import math
 
-from lycheegauge.internal.coordination import leases
+from lycheegauge.internal.coordination import departures, leases
 from lycheegauge.internal.protocol import addresses, roster
 
 UNCONFIRMED_GRACE_S = 3.0
@@ -37,6 +37,7 @@
         self.table: roster.RouteDocument | None = None
         self.restrictions = roster.Restrictions(0)
         self.refreshed_at = -math.inf
+        self._departures = departures.Departures(are_first_recent=False)
         self._source = ""
         self._cursor = 0
         self._cold_until: dict[str, float] = {}
@@ -78,6 +79,7 @@
             restrictions.revision > self.restrictions.revision
         ):
             self.restrictions = restrictions
+            self._departures.update(restrictions.departures, now)
             changed.append("restrictions")
         if self._apply_roster(reply, now):
             changed.append("roster")
@@ -88,14 +90,13 @@
     def list_usable(self, now: float) -> list[roster.ServerListing]:
         """Lists the backend servers that may get new work."""
         self._drop_unconfirmed(now)
-        departed = set(self.restrictions.departures)
         zones_out = set(self.restrictions.zones_out)
         return [
             server
             for server in self.servers.values()
             if not server.leaving
             and server.availability_zone not in zones_out
-            and roster.Departure(server.name, server.born_ms) not in departed
+            and not self._departures.has_left(server.name, server.born_ms, now)
         ]
 
     def get_lease_left(self, now: float) -> float:
--- a/src/lycheegauge/internal/daemons/controlgate.py
+++ b/src/lycheegauge/internal/daemons/controlgate.py
@@ -177,9 +177,23 @@
                 return answer
         if not self._host.task.is_leader:
             return _make_unavailable("this host is no longer the leader; retry")
-        self._host.get_registry().record_announcement(listing, clock.read_clock())
+        self._record_announcement(listing)
         return controlapi.Response(OK, b"{}")
 
+    def _record_announcement(self, listing: roster.ServerListing) -> None:
+        registry, now = self._host.get_registry(), clock.read_clock()
+        registry.departures.update(self._host.routing.restrictions.departures, now)
+        is_known = registry.find_server(listing.name) is not None
+        is_recorded = registry.record_announcement(listing, now)
+        if is_recorded and not is_known:
+            _log_announcement("a backend server is listed", listing)
+        elif not is_recorded and not is_known:
+            _log_announcement(
+                "announcement ignored: a later incarnation left, or a later start has"
+                " its address",
+                listing,
+            )
+
     async def _handle_leave(self, server: str, body: bytes) -> controlapi.Response:
         departure = self._dialect.parse_departure(server, body)
         answer = await self._commit(
@@ -204,5 +218,16 @@
         return controlapi.Response(OK, b"{}")
 
 
+def _log_announcement(message: str, listing: roster.ServerListing) -> None:
+    loguru.logger.info(
+        message,
+        server=listing.name,
+        born_ms=listing.born_ms,
+        sequence=listing.sequence,
+        address=listing.address,
+        service=listing.service,
+    )
+
+
 def _make_unavailable(reason: str) -> controlapi.Response:
     return controlapi.Response(UNAVAILABLE, reason.encode())
--- a/src/lycheegauge/internal/daemons/relativecalls.py
+++ b/src/lycheegauge/internal/daemons/relativecalls.py
@@ -134,7 +134,10 @@
                 return changes.SetZoneOut(zone, call.out, version)
             case controlcalls.Leave():
                 known = self._host.get_registry().find_server(call.server)
-                return changes.NoteDeparture(call.server, known.born_ms if known else 0)
+                if known is not None:
+                    return changes.NoteDeparture(call.server, known.born_ms)
+                now_ms = clock.read_unix_ms()
+                return changes.NoteDeparture(call.server, 0, now_ms)
             case controlcalls.ClearCrashingPart():
                 parts = self._host.crashing_parts.current.parts
                 known_boots = [item.boots for item in parts if item.part == call.part]
--- a/src/lycheegauge/internal/protocol/changes.py
+++ b/src/lycheegauge/internal/protocol/changes.py
@@ -2,9 +2,9 @@
 
 The codec packs a change into a log entry's payload. Its outcome is computed when
 the entry is applied and is the same on every replica. Changes carry no wall-clock
-time: ``log_time_s`` is the leader's monotonic count of log seconds. It never
-decreases because each entry takes the maximum of its leader's reading and the
-value of the previous entry.
+time, except to compare with the starts that servers state: ``log_time_s`` is the
+leader's monotonic count of log seconds. It never decreases because each entry takes the
+maximum of its leader's reading and the value of the previous entry.
 """
 
 import dataclasses
@@ -242,10 +242,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoteDeparture:
-    """Records that an incarnation of a backend server must get no new requests."""
+    """Records that an incarnation of a backend server must get no new requests.
+
+    If the leader did not know the server, ``born_ms`` is 0 and ``before_ms`` is its own
+    wall clock in Unix ms when it was told: the incarnation was born before then.
+    """
 
     server: str
     born_ms: int
+    before_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/protocol/roster.py
+++ b/src/lycheegauge/internal/protocol/roster.py
@@ -58,10 +58,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Departure:
-    """An incarnation of a backend server that must get no new requests."""
+    """An incarnation of a backend server that must get no new requests.
+
+    If its start is not known, ``born_ms`` is 0, and it was born before ``before_ms``.
+    """
 
     server: str
     born_ms: int
+    before_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/state/routing.py
+++ b/src/lycheegauge/internal/state/routing.py
@@ -117,7 +117,7 @@
         return True
 
     def _note_departure(self, change: changes.NoteDeparture) -> None:
-        departure = roster.Departure(change.server, change.born_ms)
+        departure = roster.Departure(change.server, change.born_ms, change.before_ms)
         if departure in self._departures:
             return
         self._departures[departure] = None
--- a/src/lycheegauge/internal/transport/clock.py
+++ b/src/lycheegauge/internal/transport/clock.py
@@ -1,4 +1,4 @@
-"""The monotonic clock. Hosts exchange durations only, never clock readings."""
+"""The clocks. Hosts exchange durations only, never readings of the monotonic clock."""
 
 import collections.abc
 import random
@@ -14,6 +14,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def read_unix_ms() -> int:
+    """Returns the host's wall clock, to compare with the starts that servers state."""
+    return time.time_ns() // 1_000_000
+
+
 FormatIncarnation = collections.abc.Callable[[int, random.Random], str]
 
 
