Let an announcement of an undeclared service displace no server

The registry took the later start for the holder of the address and dropped the sound server's heartbeats; under the server's own id the other service replaced the true one.

Such an announcement is now ignored if it would displace a listed server. It is still listed if it displaces none, as a later table may declare its service.

Test: processes/departures, "An announcement of an undeclared service displaces no server", failed before (server-3 alone of three got requests) and passes.

--- a/src/lycheegauge/internal/coordination/rosterregistry.py
+++ b/src/lycheegauge/internal/coordination/rosterregistry.py
@@ -143,6 +143,15 @@
             known.last_seen_at = now
         return True
 
+    def find_displaced(
+        self, listing: roster.ServerListing
+    ) -> roster.ServerListing | None:
+        """Finds the server that an announcement would take out of its service."""
+        known = self._servers.get(listing.name)
+        if known is not None and known.listing.service != listing.service:
+            return known.listing
+        return self._find_address_conflict(listing)
+
     def mark_silent(self, name: str, is_silent: bool) -> bool:
         """Records whether a server is unreachable; returns whether that changed."""
         known = self._servers.get(name)
--- a/src/lycheegauge/internal/daemons/controlgate.py
+++ b/src/lycheegauge/internal/daemons/controlgate.py
@@ -15,6 +15,7 @@
 
 from lycheegauge import errors, settings
 from lycheegauge.internal.daemons import (
+    declarednames,
     discoveryresponder,
     relativecalls,
     rosterhost,
@@ -50,6 +51,7 @@
         self._host = host
         self._dialect = dialect
         self.relative_calls = relativecalls.RelativeCalls(host, dialect)
+        self._declared = declarednames.DeclaredNames(dialect)
         self._entries = discoveryresponder.DiscoveryResponder(
             dialect, part.answer_valid_s
         )
@@ -183,6 +185,13 @@
     def _record_announcement(self, listing: roster.ServerListing) -> None:
         registry, now = self._host.get_registry(), clock.read_clock()
         registry.departures.update(self._host.routing.restrictions.departures, now)
+        displaced = registry.find_displaced(listing)
+        table = self._host.routing.table
+        if displaced is not None and not self._declared.contain(listing.service, table):
+            _log_announcement(
+                "announcement ignored: its service is not declared", listing
+            )
+            return
         is_known = registry.find_server(listing.name) is not None
         is_recorded = registry.record_announcement(listing, now)
         if is_recorded and not is_known:
--- a/tests/processes/departures.feature
+++ b/tests/processes/departures.feature
@@ -9,3 +9,8 @@
     When a server that its leader has forgotten leaves, and a heartbeat was held up
     Then the server that left gets no request
     And it gets requests again once it has restarted
+
+  # Guards against an announcement of an undeclared service that displaces sound servers.
+  Scenario: An announcement of an undeclared service displaces no server
+    When an announcement of another service names the address of a sound server
+    Then all sound servers get requests
--- a/tests/steps/departures.py
+++ b/tests/steps/departures.py
@@ -179,3 +179,29 @@
         lambda: leaving.name in list_names(context.fleet, 0.5),
         "the restarted server is used",
     )
+
+
+@behave.when("an announcement of another service names the address of a sound server")
+def announce_undeclared(context):
+    fleet, sound = context.fleet, context.fleet.servers[0]
+    other = forwardingfleet.BackendServer(
+        "other", sound.zone, fleet.control_hosts, service="undeclared"
+    )
+    other.address = sound.address
+    other.born_ms = time.time_ns() // 1_000_000
+    assert other.announce()
+    # The sound server's next announcement would be of the older start.
+    same = forwardingfleet.BackendServer(
+        fleet.servers[1].name, sound.zone, fleet.control_hosts, service="undeclared"
+    )
+    same.address, same.born_ms = fleet.servers[1].address, fleet.servers[1].born_ms
+    same.sequence = 10_000
+    assert same.announce()
+    # The gateway pulls several times meanwhile.
+    time.sleep(forwardingfleet.ANNOUNCE_INTERVAL_S)
+
+
+@behave.then("all sound servers get requests")
+def check_all_used(context):
+    names = list_names(context.fleet, forwardingfleet.ANNOUNCE_INTERVAL_S * 2)
+    assert names == {server.name for server in context.fleet.servers}, names
