Refuse a part of prompts only if a request with it crashed a server alone

Cause: a part's frequency is estimated from answers, and one that has just come into use has none (0.0017 in the trace, while most open requests had it). The evidence of two crashes that one request caused 7 ms apart, 2.2 and 2.1, was added up past the threshold of 4, and a refused part could not be cleared, as no request with it ran.

The same evidence now makes requests with the part run one at a time, in the suspect slot of their service. A crash there refuses the part, unless the whole request is a suspect, then it counts against that; an answer clears the part everywhere. A refused part is tried again after 30 s, and ever more seldom.

Tests: processes/crashingparts, "A part that has just come into use is served although it ran at two crashes", failed on the commit before (all 108 requests got 422) and passes.

--- a/src/lycheegauge/internal/coordination/crashdetector.py
+++ b/src/lycheegauge/internal/coordination/crashdetector.py
@@ -11,7 +11,7 @@
 import collections
 import dataclasses
 
-from lycheegauge.internal.coordination import crashes, partdetector
+from lycheegauge.internal.coordination import crashes, partdetector, retrials
 from lycheegauge.internal.protocol import changes, roster
 
 EVIDENCE_KEPT_S = 20.0
@@ -34,13 +34,6 @@
 """Crashes after which a request runs only while no other suspect of its service does.
 With one crash alone the requests that merely ran there would wait for each other."""
 
-RETRIAL_INTERVAL_S = 30.0
-"""Time until a refused request may run alone once more, in seconds. It grows by
-``RETRIAL_GROWTH`` with each crash at which the request was the only suspect."""
-
-RETRIAL_GROWTH = 10.0
-MAX_RETRIALS = 1024
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _BrokenAttempt:
@@ -57,14 +50,6 @@
     is_alone: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Retrial:
-    """When a refused request may run once more, and the crashes this depends on."""
-
-    crashes_alone: int
-    due_at: float
-
-
 class CrashDetector:
     """Correlates broken attempts with restarts, and tracks the quarantine."""
 
@@ -74,7 +59,7 @@
         self._broken_attempts: dict[str, collections.deque[_BrokenAttempt]] = {}
         self._pending_reports: dict[str, changes.ReportCrash] = {}
         self._pending_clearances: dict[str, changes.ClearSuspect] = {}
-        self._retrials: dict[str, _Retrial] = {}
+        self._retrials = retrials.Retrials()
 
     @property
     def has_suspects(self) -> bool:
@@ -87,6 +72,8 @@
 
     def must_run_alone(self, fingerprint: str) -> bool:
         """Tells whether a suspected request must be the only suspect of its service."""
+        if self.get_verdict(fingerprint) is crashes.Verdict.REFUSED:
+            return True
         boots = self.quarantine.list_boots(fingerprint)
         return len(boots) >= CRASHES_TO_RUN_ALONE
 
@@ -95,24 +82,9 @@
         return self.quarantine.list_boots(fingerprint)
 
     def take_retrial(self, fingerprint: str, now: float) -> bool:
-        """Tells whether a refused request may run alone once more, and counts it.
-
-        A refusal that rests on a coincidence would otherwise last for hours, as no
-        request that could disprove it runs.
-        """
-        alone = len(self.quarantine.list_boots_alone(fingerprint))
-        interval_s = RETRIAL_INTERVAL_S * RETRIAL_GROWTH ** max(0, alone - 1)
-        known = self._retrials.get(fingerprint)
-        if known is None or known.crashes_alone != alone:
-            self._retrials.pop(fingerprint, None)
-            self._retrials[fingerprint] = _Retrial(alone, now + interval_s)
-            while len(self._retrials) > MAX_RETRIALS:
-                del self._retrials[next(iter(self._retrials))]
-            return False
-        if now < known.due_at:
-            return False
-        self._retrials[fingerprint] = _Retrial(alone, now + interval_s)
-        return True
+        """Tells whether a refused request may run alone once more, and counts it."""
+        crashes_alone = len(self.quarantine.list_boots_alone(fingerprint))
+        return self._retrials.take(fingerprint, crashes_alone, now)
 
     def record_broken_attempt(
         self,
--- a/src/lycheegauge/internal/coordination/partdetector.py
+++ b/src/lycheegauge/internal/coordination/partdetector.py
@@ -5,7 +5,9 @@
 crashed it. The evidence is the improbability that such a request was there by chance,
 given how often requests with the part are answered. A part that many requests share is
 therefore no suspect, although it runs beside every crash; and it is cleared as soon as
-a request with it that was sent after the crash is answered.
+a request with it that was sent after the crash is answered. Strong evidence does not
+refuse a part, as it may have come into use just before the crashes: requests with it
+run alone then, and a crash of one refuses it.
 """
 
 import collections
@@ -13,6 +15,7 @@
 import dataclasses
 import math
 
+from lycheegauge.internal.coordination import retrials
 from lycheegauge.internal.protocol import changes, freshness, roster
 
 SETTLED_S = 0.5
@@ -45,10 +48,12 @@
     Attributes:
         parts: The shared parts of its prompt.
         open_requests: Estimated number of open requests at the server, of all hosts.
+        alone: The suspected parts, if it was the only suspect of its service.
     """
 
     parts: tuple[str, ...]
     open_requests: float
+    alone: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,8 +104,10 @@
 
     def __init__(self) -> None:
         self.known = freshness.CrashingPartList(-1)
-        self._refused: frozenset[str] = frozenset()
+        self._listed: dict[str, freshness.CrashingPart] = {}
         self._suspected: Suspicions = {}
+        self._cleared: dict[str, frozenset[str]] = {}
+        self._retrials = retrials.Retrials()
         self._answers = _AnswerCounts()
         self._estimates: collections.deque[PartEstimate] = collections.deque(
             maxlen=MAX_PENDING_ESTIMATES
@@ -108,9 +115,40 @@
         self._pending_reports: dict[str, changes.ReportPartCrash] = {}
         self._pending_clearances: dict[str, changes.ClearPart] = {}
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any part must run alone or is refused."""
+        return bool(self._listed)
+
     def find_refused(self, parts: collections.abc.Iterable[str]) -> str:
         """Returns a part that must not run, or an empty string."""
-        return next((part for part in parts if part in self._refused), "")
+        listed = self._list_suspects(parts)
+        return next((item.part for item in listed if item.is_refused), "")
+
+    def find_suspected(self, parts: collections.abc.Iterable[str]) -> tuple[str, ...]:
+        """Returns the parts that most evidence is against, if any must run alone.
+
+        A crash of a request that runs alone is evidence against these.
+        """
+        listed = self._list_suspects(parts)
+        most = max((item.evidence for item in listed), default=0.0)
+        return tuple(item.part for item in listed if item.evidence == most)
+
+    def take_retrial(self, part: str, now: float) -> bool:
+        """Tells whether a request with a refused part may run alone once more."""
+        crashes_alone = self._listed[part].crashes_alone
+        return self._retrials.take(part, crashes_alone, now)
+
+    def _list_suspects(
+        self, parts: collections.abc.Iterable[str]
+    ) -> list[freshness.CrashingPart]:
+        """Lists those parts that must run alone or are refused."""
+        listed = [self._listed[part] for part in parts if part in self._listed]
+        return [
+            item
+            for item in listed
+            if not self._cleared.get(item.part, frozenset()).issuperset(item.boots)
+        ]
 
     def list_suspicions(self, parts: collections.abc.Iterable[str]) -> Suspicions:
         """Lists the crashes that an answer that begins now would clear of."""
@@ -130,6 +168,10 @@
         self._answers.count(parts, now)
         for part, boots in suspicions.items():
             self._pending_clearances[part] = changes.ClearPart(part, boots, False, 0.0)
+            if part in self._listed:
+                # Takes effect on this host before the log has committed it.
+                known = self._cleared.get(part, frozenset())
+                self._cleared[part] = known.union(boots)
         while len(self._pending_clearances) > MAX_PENDING_CLEARANCES:
             del self._pending_clearances[next(iter(self._pending_clearances))]
 
@@ -149,7 +191,12 @@
             for part, part_evidence in zip(parts, evidence, strict=True)
         )
         self._pending_reports[server.incarnation] = changes.ReportPartCrash(
-            server.name, str(server.born_ms), tuple(parts), evidence, 0.0
+            server.name,
+            str(server.born_ms),
+            tuple(parts),
+            evidence,
+            0.0,
+            tuple(sorted({part for suspect in suspects for part in suspect.alone})),
         )
         while len(self._pending_reports) > MAX_PENDING_REPORTS:
             del self._pending_reports[next(iter(self._pending_reports))]
@@ -181,8 +228,15 @@
         if reply.part_list is not None and reply.part_list.version > self.known.version:
             self.known = reply.part_list
             parts = reply.part_list.parts
-            self._refused = frozenset(item.part for item in parts if item.is_refused)
+            self._listed = {
+                item.part: item for item in parts if item.runs_alone or item.is_refused
+            }
             self._suspected = {item.part: item.boots for item in parts}
+            self._cleared = {
+                part: boots
+                for part, boots in self._cleared.items()
+                if part in self._listed
+            }
         if not reply.has_recorded:
             return
         for report in pull.part_crashes:
--- a/src/lycheegauge/internal/daemons/crashprobes.py
+++ b/src/lycheegauge/internal/daemons/crashprobes.py
@@ -53,6 +53,7 @@
         fingerprint: str,
         parts: tuple[str, ...],
         is_alone: bool = False,
+        parts_alone: tuple[str, ...] = (),
     ) -> None:
         """Records an aborted attempt and probes whether its server is gone.
 
@@ -61,13 +62,14 @@
             fingerprint: The digest of the request.
             parts: The shared parts of its prompt, if they may have crashed the server.
             is_alone: Whether it was the only suspect of its service.
+            parts_alone: The parts for which it was.
         """
         now = clock.read_clock()
         suspect = None
         if parts:
             slots = max(1, self._services.count_slots(server))
             open_requests = self._choice.estimate(server, slots, now) * slots
-            suspect = partdetector.Suspect(parts, open_requests)
+            suspect = partdetector.Suspect(parts, open_requests, parts_alone)
         self._detector.record_broken_attempt(
             server, fingerprint, now, suspect, is_alone
         )
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -161,9 +161,6 @@
             if self._admission.is_in_stream_admission:
                 return None
             return self._shared.chooser.check_wait(self._route, self._service, server)
-        crashed = self._admission.describe_refused_part()
-        if crashed:
-            return self._give_up(work.RefusalReason.QUARANTINED, crashed)
         if not self._spend_retry_budget():
             detail = self._budget.describe(clock.read_clock())
             return self._give_up(work.RefusalReason.RETRY_BUDGET_SPENT, detail)
@@ -267,7 +264,8 @@
                 server,
                 self._admission.digest_request(),
                 suspected_parts,
-                self._suspicion.is_alone,
+                self._suspicion.is_request_alone,
+                self._suspicion.parts_alone,
             )
             self._suspicion.note_broken_off()
             return self._give_up(work.RefusalReason.BACKEND_SERVER_FAILED, str(error))
--- a/src/lycheegauge/internal/daemons/requestadmission.py
+++ b/src/lycheegauge/internal/daemons/requestadmission.py
@@ -112,10 +112,13 @@
             self.is_retrial = detector.take_retrial(fingerprint, now)
         return not self.is_retrial
 
-    def describe_refused_part(self) -> str:
-        """Describes a part of the prompt that crashed servers; empty for none."""
-        part = self._shared.crashdetector.parts.find_refused(self.parts)
-        return f"part {part} of the prompt crashed servers" if part else ""
+    def _find_refused_part(self) -> str:
+        """Returns a part of the prompt that must not run, or an empty string."""
+        detector = self._shared.crashdetector.parts
+        part = detector.find_refused(self.parts)
+        if part and not self.is_retrial:
+            self.is_retrial = detector.take_retrial(part, clock.read_clock())
+        return "" if self.is_retrial else part
 
     def name_route(self) -> str:
         """Returns the route's name, also if the request was refused before routing."""
@@ -169,9 +172,9 @@
         if shared.part.server_choice.weigh_work:
             self.size = shared.services.expect_size(self.service, self._parse_size())
         self.parts = self._list_parts()
-        crashed = self.describe_refused_part()
+        crashed = self._find_refused_part()
         if crashed:
-            return refusals.refuse(work.RefusalReason.QUARANTINED, crashed)
+            return refuse_part(crashed)
         left_s = min(route.timeout_s, self._read_time_left())
         self.deadline = self._exchange.arrived_at + left_s
         if not shared.chooser.has_server(self.service):
@@ -224,3 +227,9 @@
         """Returns how long the caller waits, in seconds; infinite if not stated."""
         header = self._exchange.headers.get(self._names.time_left_ms, "")
         return bounds.parse_duration_ms(header)
+
+
+def refuse_part(part: str) -> forwardrules.GivenUp:
+    """Builds the refusal of a request with a part that crashed servers."""
+    detail = f"part {part} of the prompt crashed servers"
+    return refusals.refuse(work.RefusalReason.QUARANTINED, detail)
--- a/src/lycheegauge/internal/daemons/suspectedrequest.py
+++ b/src/lycheegauge/internal/daemons/suspectedrequest.py
@@ -17,6 +17,10 @@
 class SuspectedRequest:
     """Decides whether one request may be sent, given the crashes that it was at.
 
+    Attributes:
+        is_request_alone: Whether the request runs as the only suspect of its service.
+        parts_alone: The parts of its prompt that do, if the request itself is none.
+
     Args:
         shared: The state shared by all requests of the entry host.
         exchange: The request and its response to the caller.
@@ -34,7 +38,9 @@
         self._admission = admission
         self._known_crashes: frozenset[str] = frozenset()
         self._has_broken_off = False
-        self.is_alone = False
+        self._has_slot = False
+        self.is_request_alone = False
+        self.parts_alone: tuple[str, ...] = ()
 
     async def enter(self) -> forwardrules.GivenUp | None:
         """Waits until the request may be sent; returns the reason if it may not.
@@ -47,10 +53,10 @@
         left_s = min(WAIT_MAX_S, self._admission.remaining_s / WAIT_DIVISOR)
         until = clock.read_clock() + left_s
         while True:
-            verdict = self._get_verdict()
-            if verdict is crashes.Verdict.REFUSED:
-                return refusals.refuse(work.RefusalReason.QUARANTINED)
-            if verdict is crashes.Verdict.FREE or self._take_slot():
+            refusal = self._find_refusal()
+            if refusal is not None:
+                return refusal
+            if not self._is_suspected() or self._take_slot():
                 self._known_crashes = self._list_crashes()
                 return None
             left_s = until - clock.read_clock()
@@ -73,28 +79,39 @@
 
     def leave(self) -> None:
         """Returns the slot, if the request has it."""
-        if self.is_alone:
-            self.is_alone = False
+        if self._has_slot:
+            self._has_slot = False
             runs = self._shared.suspect_runs
             runs.slots.release(
                 self._admission.service, clock.read_clock(), self._has_broken_off
             )
             runs.note_change()
+        self.is_request_alone, self.parts_alone = False, ()
         self._has_broken_off = False
 
-    def _get_verdict(self) -> crashes.Verdict:
-        """Returns how the request may run; ``SUSPECT`` needs the slot."""
+    def _find_refusal(self) -> forwardrules.GivenUp | None:
+        """Returns why the request must not run, unless it may once more."""
+        if self._admission.is_retrial:
+            return None
         detector = self._shared.crashdetector
-        if not detector.has_suspects:
-            return crashes.Verdict.FREE
-        fingerprint = self._admission.digest_request()
-        verdict = detector.get_verdict(fingerprint)
-        if verdict is crashes.Verdict.REFUSED:
-            is_retrial = self._admission.is_retrial
-            return crashes.Verdict.SUSPECT if is_retrial else verdict
-        if detector.must_run_alone(fingerprint):
-            return crashes.Verdict.SUSPECT
-        return crashes.Verdict.FREE
+        if detector.has_suspects:
+            verdict = detector.get_verdict(self._admission.digest_request())
+            if verdict is crashes.Verdict.REFUSED:
+                return refusals.refuse(work.RefusalReason.QUARANTINED)
+        part = detector.parts.find_refused(self._admission.parts)
+        return requestadmission.refuse_part(part) if part else None
+
+    def _is_suspected(self) -> bool:
+        """Tells whether the request may only run in the slot of its service."""
+        detector, admission = self._shared.crashdetector, self._admission
+        is_request_suspected = detector.has_suspects and detector.must_run_alone(
+            admission.digest_request()
+        )
+        parts = detector.parts.find_suspected(admission.parts)
+        # If both are suspected, a crash shows only that the whole request causes it.
+        self.is_request_alone = is_request_suspected
+        self.parts_alone = () if is_request_suspected else parts
+        return is_request_suspected or bool(parts)
 
     def _list_crashes(self) -> frozenset[str]:
         detector = self._shared.crashdetector
@@ -104,11 +121,11 @@
 
     def _take_slot(self) -> bool:
         service, now = self._admission.service, clock.read_clock()
-        if self.is_alone:
+        if self._has_slot:
             return True
         if not self._shared.suspect_runs.slots.take(service, now):
             return False
-        self.is_alone = True
+        self._has_slot = True
         loguru.logger.info(
             "suspected request runs alone",
             request_id=self._exchange.headers.get(
@@ -117,11 +134,15 @@
             service=service,
             fingerprint=self._admission.digest_request(),
             crashes=sorted(self._list_crashes()),
+            parts=self.parts_alone,
         )
         return True
 
     def _refuse_waiting(self) -> forwardrules.GivenUp:
         if self._admission.is_retrial:
-            return refusals.refuse(work.RefusalReason.QUARANTINED)
+            self._admission.is_retrial = False
+            refusal = self._find_refusal()
+            if refusal is not None:
+                return refusal
         detail = "it may have crashed servers, and another such request runs"
         return refusals.refuse(work.RefusalReason.SUSPECT_BUSY, detail)
--- a/src/lycheegauge/internal/protocol/changes.py
+++ b/src/lycheegauge/internal/protocol/changes.py
@@ -147,7 +147,8 @@
     """The parts of prompts that may have crashed a backend server.
 
     ``evidence`` has a number for each part: the negative decimal logarithm of the
-    probability that a request with the part was there by chance.
+    probability that a request with the part was there by chance. ``alone`` are those
+    whose request ran as the only suspect of its service.
     """
 
     backend_server: str
@@ -155,6 +156,7 @@
     parts: tuple[str, ...]
     evidence: tuple[float, ...]
     log_time_s: float
+    alone: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/protocol/freshness.py
+++ b/src/lycheegauge/internal/protocol/freshness.py
@@ -162,12 +162,16 @@
         evidence: Sum of the negative decimal logarithms of the probabilities that it
             was there by chance.
         is_refused: Whether requests with it must not run.
+        runs_alone: Whether a request with it must be the only suspect of its service.
+        crashes_alone: Number of the crashes at which such a request was.
     """
 
     part: str
     boots: tuple[str, ...]
     evidence: float
     is_refused: bool
+    runs_alone: bool = False
+    crashes_alone: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/protocol/ledger.py
+++ b/src/lycheegauge/internal/protocol/ledger.py
@@ -69,7 +69,8 @@
 class PartRecord:
     """The crashes that count or counted against one part of prompts.
 
-    ``boots``, ``evidence`` and ``cleared`` have one item for each crash.
+    ``boots``, ``evidence``, ``cleared`` and ``are_alone`` have one item for each crash.
+    Snapshots of older versions lack ``are_alone``.
     """
 
     part: str
@@ -77,6 +78,7 @@
     evidence: tuple[float, ...]
     cleared: tuple[bool, ...]
     last_crash_s: float
+    are_alone: tuple[bool, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/lycheegauge/internal/state/crashingparts.py
+++ b/src/lycheegauge/internal/state/crashingparts.py
@@ -2,9 +2,11 @@
 
 Requests share parts, so a part that crashes servers comes with requests of which no two
 are alike. Each crash is evidence against the parts of the requests that the server may
-have begun to answer. A part is refused once the crashes are too unlikely a coincidence.
-An answer to a request with the part, begun after a crash, clears it of that crash, and
-crashes of the service without the part speak for it.
+have begun to answer. Once the crashes are too unlikely a coincidence, requests with the
+part run one at a time, as the only suspect of their service, since several servers may
+have crashed for one cause and a part may have come into use just then. A crash at which
+one ran so refuses the part. An answer to a request with the part, begun after a crash,
+clears it of that crash, and crashes of the service without the part speak for it.
 """
 
 import dataclasses
@@ -14,16 +16,14 @@
 from lycheegauge.internal.protocol import changes, codec, freshness, ledger
 from lycheegauge.internal.state import machine
 
-REFUSAL_EVIDENCE = 4.0
-"""Evidence from which a part is refused: a coincidence of probability 0.0001."""
+SUSPICION_EVIDENCE = 4.0
+"""Evidence from which requests with a part run alone: a coincidence of probability
+0.0001."""
 
 ABSENCE_EVIDENCE = 0.3
 """What a crash without a part takes from the evidence against it: a part that crashes
 servers may be the cause of every second crash."""
 
-REFUSAL_CRASHES = 2
-"""Number of crashes below which a part is never refused."""
-
 MAX_PARTS = 1_024
 MAX_SERVICE_CRASHES = 256
 RETENTION_S = 6 * 3600.0
@@ -36,6 +36,7 @@
     boot: str
     evidence: float
     is_cleared: bool = False
+    is_alone: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,6 +48,16 @@
     def counted(self) -> list[_Crash]:
         return [crash for crash in self.crashes if not crash.is_cleared]
 
+    def add(self, added: _Crash) -> bool:
+        """Adds a crash; returns whether it was not known before."""
+        for crash in self.crashes:
+            if crash.boot == added.boot:
+                # Several hosts report one crash, and only one of them may know this.
+                crash.is_alone = crash.is_alone or added.is_alone
+                return False
+        self.crashes.append(added)
+        return True
+
     def sum_evidence(self, service_boots: list[str]) -> float:
         """Returns the evidence, given all crashed boots of the service."""
         counted = self.counted
@@ -106,6 +117,7 @@
                 tuple(crash.evidence for crash in item.crashes),
                 tuple(crash.is_cleared for crash in item.crashes),
                 item.last_crash_s,
+                tuple(crash.is_alone for crash in item.crashes),
             )
             for part, item in self._parts.items()
         )
@@ -127,15 +139,7 @@
         state = codec.unpack(body)
         self._log_time_s = state.log_time_s
         self._parts = {
-            record.part: _PartHistory(
-                [
-                    _Crash(*item)
-                    for item in zip(
-                        record.boots, record.evidence, record.cleared, strict=True
-                    )
-                ],
-                record.last_crash_s,
-            )
+            record.part: _PartHistory(_load_crashes(record), record.last_crash_s)
             for record in state.records
         }
         self._service_boots = {
@@ -147,8 +151,7 @@
         boot = freshness.make_boot_key(change.backend_server, change.boot_id)
         for part, evidence in zip(change.parts, change.evidence, strict=False):
             item = self._parts.pop(part, None) or _PartHistory([], 0.0)
-            if all(crash.boot != boot for crash in item.crashes):
-                item.crashes.append(_Crash(boot, evidence))
+            if item.add(_Crash(boot, evidence, False, part in change.alone)):
                 item.last_crash_s = self._log_time_s
             self._parts[part] = item
             self._record_service_crash(_get_service(part), boot)
@@ -199,10 +202,26 @@
         return freshness.CrashingPartList(version, parts)
 
     def _describe_part(self, part: str) -> freshness.CrashingPart:
-        boots = tuple(crash.boot for crash in self._parts[part].counted)
+        counted = self._parts[part].counted
+        crashes_alone = sum(crash.is_alone for crash in counted)
         evidence = self._sum_evidence(part)
-        is_refused = len(boots) >= REFUSAL_CRASHES and evidence >= REFUSAL_EVIDENCE
-        return freshness.CrashingPart(part, boots, evidence, is_refused)
+        has_several = len(counted) >= freshness.CRASHES_TO_REFUSE
+        runs_alone = has_several and evidence >= SUSPICION_EVIDENCE
+        return freshness.CrashingPart(
+            part,
+            tuple(crash.boot for crash in counted),
+            evidence,
+            runs_alone and freshness.is_refused(len(counted), crashes_alone),
+            runs_alone,
+            crashes_alone,
+        )
+
+
+def _load_crashes(record: ledger.PartRecord) -> list[_Crash]:
+    """Reads the crashes of a snapshot, which may be of an older version."""
+    are_alone = record.are_alone or (False,) * len(record.boots)
+    crashes = zip(record.boots, record.evidence, record.cleared, are_alone, strict=True)
+    return [_Crash(*item) for item in crashes]
 
 
 def _get_service(part: str) -> str:
--- a/tests/steps/crashingparts.py
+++ b/tests/steps/crashingparts.py
@@ -146,3 +146,66 @@
         ),
         "requests with the part are served",
     )
+
+
+NEW_TARGET, CRASHING_TARGET = "/safe/new", "/safe/poison"
+NEW_PART_S, NEW_USERS = 0.4, 18
+EARLIER_S, EARLIER_PER_S = 5.0, 150.0
+"""Requests without the new part, so that it is rare among the answers."""
+
+
+def send_new(fleet, pool, gateways):
+    """Sends requests that share a part, of which no two are alike."""
+    return [
+        pool.submit(
+            fleet.request, f"{NEW_TARGET}?{time.time_ns()}", f"n{time.time_ns()}",
+            gateway=gateways[number % len(gateways)],
+            **{PARTS_HEADER: f"new:40,own{number}:300"},
+        )
+        for number in range(NEW_USERS)
+    ]  # fmt: skip
+
+
+@behave.when(
+    "an application begins to use a new part while another request crashes servers"
+)
+def crash_beside_new_part(context):
+    fleet = context.fleet
+    for server in fleet.servers:
+        server.delays_s[NEW_TARGET] = NEW_PART_S
+    with concurrent.futures.ThreadPoolExecutor(64) as pool:
+        context.load = load = Load(fleet, pool, seed=2)
+        load.run(EARLIER_S, EARLIER_PER_S, 0.0)
+        running = send_new(fleet, pool, (0, 1, 2))
+        time.sleep(NEW_PART_S / 2)
+        crashing = fleet.request(
+            CRASHING_TARGET, "crashing", **{PARTS_HEADER: "bad:40,own:300"}
+        )
+        assert crashing.status == 502, crashing
+        concurrent.futures.wait(running)
+    assert sum(server.crashes for server in fleet.servers) == 2
+
+
+@behave.then("requests with the new part are served by every gateway")
+def check_new_part(context):
+    fleet, statuses = context.fleet, []
+    with concurrent.futures.ThreadPoolExecutor(64) as pool:
+        for _ in range(6):
+            sent = send_new(fleet, pool, (0, 1, 2))
+            statuses += [future.result().status for future in sent]
+    # One in 500 requests, and five more, may be refused without a reason.
+    assert statuses.count(422) <= 5, statuses
+    last = statuses[-NEW_USERS:]
+    assert last.count(200) == NEW_USERS, statuses
+
+
+@behave.then("the request that crashed servers is not")
+def check_not_served(context):
+    fleet = context.fleet
+    parts = {PARTS_HEADER: "bad:40,own:300"}
+    processes.wait_until(
+        lambda: (
+            fleet.request(CRASHING_TARGET, f"p{time.time_ns()}", **parts).status == 422
+        ),
+        "the request is refused",
+    )
