Treat an answer with a status above 599 as malformed

Callers got answers with status 600 or 999 from a faulty server, on every kind of route (000, 001, 099 and other forms did not get through). Agents passed them on for plain services, and took them for the refusal of an engine's order, whose outcome is unknown. The HTTP parser checks the number of digits and 1xx only; RFC 9110, section 15, limits statuses to 100 to 599.

Such an answer now fails its attempt like any other malformed one, so that a request that may be repeated is answered by another server.

--- a/src/lycheegauge/internal/transport/upstream.py
+++ b/src/lycheegauge/internal/transport/upstream.py
@@ -49,6 +49,9 @@
 INFORMATIONAL_RESPONSES_MAX = 8
 """Informational responses (status 1xx) accepted before the response to a request."""
 
+STATUS_MAX = 599
+"""The highest status of a response (RFC 9110, section 15); others are invalid."""
+
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 
 
@@ -412,6 +415,9 @@
                         )
                         return
                     continue
+                if isinstance(event, h11.Response) and event.status_code > STATUS_MAX:
+                    self._fail(f"malformed HTTP response: status {event.status_code}")
+                    return
                 self._events.append(event)
                 if isinstance(event, h11.Data):
                     self._unread_bytes += len(event.data)
