Limit what an agent reads of an engine's answer to a cancellation

An agent whose engine sends bytes without end kept 104.9 MB of them for each cancelled completion, and it cancels each run whose stream is malformed; the requests of other clients would end with its process. The HTTP client buffers what no callback takes, up to the library's limit of 100 MB. Its answer to a cancellation is not used, so 64 kB are read of it now.

Test: failures/endlessbytes, eight endless forms at each client of an engine and three after a request was given up.

--- a/src/lycheegauge/internal/transport/engines.py
+++ b/src/lycheegauge/internal/transport/engines.py
@@ -24,6 +24,12 @@
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Size limit of a plain service's response, which is buffered in full."""
 
+STREAM_MAX_BYTES = 100 * 1024 * 1024
+"""Size limit of a stream, of which only the unread events are kept."""
+
+CANCEL_RESPONSE_MAX_BYTES = 64 * 1024
+"""Size limit of the response to a cancellation, which is not used."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Capabilities:
@@ -106,22 +112,22 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self._client: tornado.httpclient.AsyncHTTPClient | None = None
+        self._clients: dict[int, tornado.httpclient.AsyncHTTPClient] = {}
+
+    def close(self) -> None:
+        """Closes the connections to the engine."""
+        for client in self._clients.values():
+            client.close()
 
-    @property
-    def client(self) -> tornado.httpclient.AsyncHTTPClient:
-        """The HTTP client, created on first use."""
-        if self._client is None:
-            self._client = tornado.httpclient.AsyncHTTPClient(
+    def _get_client(self, response_bytes: int) -> tornado.httpclient.AsyncHTTPClient:
+        """Returns the HTTP client that reads so much of a response, at most."""
+        if response_bytes not in self._clients:
+            self._clients[response_bytes] = tornado.httpclient.AsyncHTTPClient(
                 force_instance=True,
                 max_clients=MAX_CONCURRENT_RUNS,
+                max_body_size=response_bytes,
             )
-        return self._client
-
-    def close(self) -> None:
-        """Closes the connections to the engine."""
-        if self._client is not None:
-            self._client.close()
+        return self._clients[response_bytes]
 
     async def post(
         self,
@@ -130,9 +136,19 @@
         headers: dict[str, str],
         streaming_callback: typing.Any = None,
         timeout_s: float = RUN_TIMEOUT_S,
+        response_bytes: int = STREAM_MAX_BYTES,
     ) -> tornado.httpclient.HTTPResponse:
         """Sends one request.
 
+        Args:
+            path: The path.
+            body: The body.
+            headers: The headers.
+            streaming_callback: Called with each part of the response's body, which is
+                then not kept.
+            timeout_s: Maximum time until the end of the response, in seconds.
+            response_bytes: Size limit of the response's body.
+
         Raises:
             errors.BackendServerFailedError: No complete response was received.
         """
@@ -146,7 +162,8 @@
             streaming_callback=streaming_callback,
         )
         try:
-            response = await self.client.fetch(request, raise_error=False)
+            client = self._get_client(response_bytes)
+            response = await client.fetch(request, raise_error=False)
         except Exception as error:
             message = f"no complete response: {error!r}"
             # With any other error, part of the request may have been sent already.
@@ -334,7 +351,13 @@
         """Asks the engine to stop a stream; errors are ignored."""
         body = json.dumps({"request_id": request_id}).encode()
         try:
-            await self.post("/v1/cancel", body, {}, timeout_s=CANCEL_TIMEOUT_S)
+            await self.post(
+                "/v1/cancel",
+                body,
+                {},
+                timeout_s=CANCEL_TIMEOUT_S,
+                response_bytes=CANCEL_RESPONSE_MAX_BYTES,
+            )
         except errors.BackendServerFailedError:
             return
 
--- a/tests/failures/endlessbytes.feature
+++ b/tests/failures/endlessbytes.feature
@@ -33,3 +33,31 @@
   Scenario: An engine's report without end is refused
     Given an engine whose report has no end
     Then its client reports a failure having read less than 8 MB
+
+  # Guards against keeping what a faulty engine sends in any part of an answer.
+  Scenario Outline: An engine that sends <part> without end ends its run
+    Given an engine that sends <part> without end
+    Then a plain service's run, a completion and the cancelling of one each read less than 8 MB
+    And an order to it and a question for its state each read less than 8 MB
+
+    Examples:
+      | part                    |
+      | a status line           |
+      | a header                |
+      | headers                 |
+      | informational responses |
+      | a body without a length |
+      | a chunk size            |
+      | chunks                  |
+      | trailers                |
+
+  # Guards against keeping what arrives after a request was given up.
+  Scenario Outline: An answer that is heard late is not read on (<part>)
+    Given a server that sends <part> without end after its request was given up
+    Then the entry host took in less than 8 MB
+
+    Examples:
+      | part                    |
+      | headers                 |
+      | informational responses |
+      | chunks                  |
--- a/tests/steps/endlessbytes.py
+++ b/tests/steps/endlessbytes.py
@@ -4,11 +4,12 @@
 import time
 
 import behave
-from support import gatewayhost
+from support import engineservers, gatewayhost
 
 from lycheegauge import errors
-from lycheegauge.internal.daemons import engineclient
+from lycheegauge.internal.daemons import engineclient, lateanswers
 from lycheegauge.internal.protocol import enginedialects, maporders
+from lycheegauge.internal.transport import engines
 
 MB = 1_000_000
 PART = b"x" * 65_536
@@ -147,3 +148,138 @@
 def check_report(context, limit_mb):
     assert isinstance(context.error, errors.BackendServerFailedError), context.error
     assert context.taken_bytes < limit_mb * MB, context.taken_bytes
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_PARTS = {
+    "a status line": (b"HTTP/1.1 200 ", PART),
+    "a header": (HEAD + b"X-Long: ", PART),
+    "headers": (HEAD, b"X-Many: 1\r\n" * 1000),
+    "informational responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    "a body without a length": (HEAD + b"\r\n", PART),
+    "a chunk size": (CHUNKED, b"0" * len(PART)),
+    "chunks": (CHUNKED, encode_chunk(PART)),
+    "trailers": (CHUNKED + b"0\r\n", b"X-Many: 1\r\n" * 1000),
+}
+RUN_LIMIT_S = 10.0
+
+
+async def measure(part, call):
+    """Returns what a server sends until a client's call ends, and whether it failed."""
+    server = EndlessServer(*ENDLESS_PARTS[part])
+    await server.start()
+    has_failed = False
+    try:
+        async with asyncio.timeout(RUN_LIMIT_S):
+            await call(server.address)
+    except errors.LycheegaugeError:
+        has_failed = True
+    finally:
+        await server.close()
+    return server.sent_bytes, has_failed
+
+
+@behave.given("an engine that sends {part} without end")
+def choose_part(context, part):
+    context.part = part
+
+
+async def run_engine(name, address):
+    engine = engines.make_engine(name, address)
+    try:
+        async for _ in engine.run(engineservers.make_order()):
+            pass
+    finally:
+        engine.close()
+
+
+async def cancel_completion(address):
+    engine = engines.make_engine("completions", address)
+    try:
+        await engine.cancel("request")
+    finally:
+        engine.close()
+
+
+@behave.then(
+    "a plain service's run, a completion and the cancelling of one each read less than"
+    " {limit_mb:d} MB"
+)
+def check_runs(context, limit_mb):
+    for name in ("plain", "completions"):
+        taken, has_failed = asyncio.run(
+            measure(context.part, lambda address, name=name: run_engine(name, address))
+        )
+        assert has_failed, (name, taken)
+        # A plain service's answer may be as long as an adapter buffers.
+        allowed = engines.MAX_RESPONSE_BYTES + 1 * MB if name == "plain" else 0
+        assert taken < max(limit_mb * MB, allowed), (name, taken)
+    taken, _ = asyncio.run(measure(context.part, cancel_completion))
+    assert taken < limit_mb * MB, ("cancel", taken)
+
+
+@behave.then(
+    "an order to it and a question for its state each read less than {limit_mb:d} MB"
+)
+def check_engine_client(context, limit_mb):
+    question = maporders.EngineQuestion(counts=False, experts=False)
+    order = maporders.MapOrder(maporders.MapOrderKind.GO, 1, 1, step=5)
+
+    async def ask(address, is_order):
+        dialect = enginedialects.get_dialect(DIALECT_NAME)
+        client = engineclient.EngineClient(dialect, address)
+        try:
+            if is_order:
+                reply = await client.order(order)
+                assert reply.outcome is maporders.MapOrderOutcome.UNANSWERED, reply
+            else:
+                await client.observe(question)
+        finally:
+            client.close()
+
+    for is_order in (False, True):
+        taken, has_failed = asyncio.run(
+            measure(context.part, lambda address, is_it=is_order: ask(address, is_it))
+        )
+        assert has_failed != is_order
+        assert taken < limit_mb * MB, (is_order, taken)
+
+
+class LateServer(EndlessServer):
+    """Begins to send once its request was given up."""
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            # The other side ends its direction when it gives up.
+            await reader.read()
+            writer.write(self.head)
+            while not writer.is_closing():
+                writer.write(self.part)
+                await writer.drain()
+                self.sent_bytes += len(self.part)
+        writer.close()
+
+
+@behave.given("a server that sends {part} without end after its request was given up")
+def send_late(context, part):
+    async def leave():
+        server = LateServer(*ENDLESS_PARTS[part])
+        host = gatewayhost.GatewayHost([server], "unsafe", attempts_max=1)
+        await host.start()
+        try:
+            address, port = host.address.split(":")
+            _, writer = await asyncio.open_connection(address, int(port))
+            writer.write(f"GET / HTTP/1.1\r\nHost: {gatewayhost.HOST}\r\n\r\n".encode())
+            await asyncio.sleep(0.1)
+            # The caller leaves, so that the attempt is given up.
+            writer.transport.abort()
+            await asyncio.sleep(2 * lateanswers.LISTEN_S)
+        finally:
+            await host.close()
+        context.taken_bytes = server.sent_bytes
+        assert server.sent_bytes > 0
+
+    asyncio.run(leave())
