Count the time in which a stopping gateway accepts from the signal

In a planned stop a gateway still took requests, and passed them on, up to 0.8 s later than 3 s after SIGTERM; such a request may be cut at the end of the grace without an answer, and nothing excuses it. The 3 s began only after a last pull from the log, which may take until its timeout.

The pull now runs beside the wait. Test: failures/plannedstop, "A host that forwards stops accepting at a set time after the signal", failed before (3.7 s with a pull of 0.7 s) and passes.

--- a/src/lycheegauge/internal/daemons/gateway.py
+++ b/src/lycheegauge/internal/daemons/gateway.py
@@ -193,8 +193,13 @@
         """Leaves discovery, serves for a while longer and finishes running requests."""
         drain = callerdrain.CallerDrain(self.forwarder, self._ingress, self._callers)
         drain.start()
-        await self._pull_once()
-        await asyncio.sleep(ACCEPT_AFTER_STOP_S)
+        # Counted from the signal, however long the pull takes: what is taken later may
+        # be cut off at the end of the grace.
+        await asyncio.gather(
+            self._pull_once(),
+            asyncio.sleep(ACCEPT_AFTER_STOP_S),
+            return_exceptions=True,
+        )
         await drain.finish()
 
     async def close(self) -> None:
--- a/tests/failures/plannedstop.feature
+++ b/tests/failures/plannedstop.feature
@@ -43,3 +43,9 @@
       | 2    |
       | 3    |
       | 4    |
+
+  # Guards against taking requests for longer after the signal than their callers are told.
+  Scenario: A host that forwards stops accepting at a set time after the signal
+    Given an entry host whose last pull takes 0.7 seconds
+    When it is told to stop
+    Then it refuses requests 3 seconds after the signal, and not much earlier
--- a/tests/steps/plannedstop.py
+++ b/tests/steps/plannedstop.py
@@ -5,7 +5,10 @@
 import time
 
 import behave
-from support import gatewayhost
+from support import gatewayhost, processes
+
+from lycheegauge import settings
+from lycheegauge.internal.daemons import gateway
 
 STEP_S = 0.05
 HEAD = f"POST / HTTP/1.1\r\nHost: {gatewayhost.HOST}\r\nContent-Length: 4\r\n\r\n"
@@ -390,3 +393,44 @@
     assert len(received) > context.before_stop >= 5 * callers, len(received)
     assert not cut, (len(cut), len(received), cut[0].status, cut[0].end)
     assert context.connections == 0, context.connections
+
+
+@behave.given("an entry host whose last pull takes {pull_s:g} seconds")
+def make_slow_pull(context, pull_s):
+    context.pull_s = pull_s
+
+
+@behave.when("it is told to stop")
+def stop_slowly(context):
+    async def stop():
+        port = processes.reserve_ports(1)[0]
+        part = settings.GatewaySettings(
+            name="gateway-1", availability_zone="zone-a",
+            caller_address="127.0.0.1:0", readiness_address="127.0.0.1:0",
+            peer_address=f"127.0.0.1:{port}",
+            roster={"seed_hosts": ("127.0.0.9:1",)},
+        )  # fmt: skip
+        daemon = gateway.GatewayDaemon(part)
+
+        async def pull_once():
+            await asyncio.sleep(context.pull_s)
+            return True
+
+        daemon._pull_once = pull_once
+        began_at = time.monotonic()
+        draining = asyncio.create_task(daemon.drain())
+        while not daemon.forwarder.refuses_requests:
+            await asyncio.sleep(0.01)
+        context.refused_after_s = time.monotonic() - began_at
+        await draining
+        await daemon.close()
+
+    asyncio.run(stop())
+
+
+@behave.then(
+    "it refuses requests {accept_s:g} seconds after the signal, and not much earlier"
+)
+def check_border(context, accept_s):
+    # The time until the timers of a busy host have run.
+    assert accept_s - 0.1 <= context.refused_after_s < accept_s + 0.3
