Refuse requests that come late in the stop of an entry host with agents

A stopping entry host closed its listening socket but ran whatever came on connections that were open, for as long as any request ran; at the end of its grace these requests were cut without an answer, also those that may not be repeated. Only new connections were refused.

After the socket is closed a request is now refused as not run, with reason "stopping" and a time to retry, like at a gateway. Test: failures/plannedstop, "An entry host with agents refuses requests that come late in a stop", failed before (the request was run) and passes.

--- a/src/lycheegauge/internal/daemons/entry.py
+++ b/src/lycheegauge/internal/daemons/entry.py
@@ -48,7 +48,7 @@
 PULL_INTERVAL_S = 0.5
 QUEUE_INTERVAL_S = 0.02
 DRAIN_POLL_S = 0.05
-LEASE_RETRY_AFTER_S = 1.0
+REFUSED_RETRY_AFTER_S = 1.0
 
 
 class EntryDaemon:
@@ -61,6 +61,7 @@
         self._quarantine_message: freshness.Quarantine | None = None
         self.metrics = metrics.Metrics()
         self.stopping = False
+        self._refuses_sessions = False
         self.sessions: set[asyncio.Task[None]] = set()
         self.caller_address = part.caller_address
         self.operator_address = part.operator_address
@@ -170,6 +171,9 @@
         with contextlib.suppress(errors.LycheegaugeError):
             await self.refresh()
         await asyncio.sleep(2 * PULL_INTERVAL_S + self.part.answer_valid_s)
+        # Callers keep their connections open, and would go on to send requests that may
+        # be cut off at the end of the grace.
+        self._refuses_sessions = True
         self._callers.stop_accepting()
         while self.sessions:
             await asyncio.sleep(DRAIN_POLL_S)
@@ -325,9 +329,19 @@
         self.metrics.count_refusal(reason)
 
     def open_session(self, request: work.Request) -> callers.Session:
-        """Starts a request, unless the lease has expired."""
+        """Starts a request, unless this host ends or the lease has expired."""
+        if self._refuses_sessions:
+            return self._refuse_session(
+                request,
+                work.RefusalReason.STOPPING,
+                "this entry host ends; use another",
+            )
         if not self.follower.lease.allows_start(clock.read_clock()):
-            return self._refuse_session(request)
+            return self._refuse_session(
+                request,
+                work.RefusalReason.LEASE_EXPIRED,
+                "this entry host is cut off from the log; use another",
+            )
         is_new_key = not request.repeatable and not request.idempotency_key
         issued_at_s = self.follower.lease.log_time_s
         if is_new_key:
@@ -344,16 +358,18 @@
         task.add_done_callback(self.sessions.discard)
         return session
 
-    def _refuse_session(self, request: work.Request) -> callers.Session:
+    def _refuse_session(
+        self, request: work.Request, reason: work.RefusalReason, detail: str
+    ) -> callers.Session:
         refusal = work.Refusal(
             request.request_id,
             0,
-            work.RefusalReason.LEASE_EXPIRED,
+            reason,
             work.RunState.NOT_RUN,
-            LEASE_RETRY_AFTER_S,
+            REFUSED_RETRY_AFTER_S,
             "accept",
             self.part.name,
-            "this entry host is cut off from the log; use another",
+            detail,
         )
         self.metrics.count_refusal(refusal.reason)
         return RefusedSession(request, refusal)
--- a/tests/failures/plannedstop.feature
+++ b/tests/failures/plannedstop.feature
@@ -49,3 +49,8 @@
     Given an entry host whose last pull takes 0.7 seconds
     When it is told to stop
     Then it refuses requests 3 seconds after the signal, and not much earlier
+
+  # Guards against running requests that come late in the grace and are cut at its end.
+  Scenario: An entry host with agents refuses requests that come late in a stop
+    Given an entry host with agents that has stopped accepting and still runs a request
+    Then a request on a kept connection is refused as not run, with a time to retry
--- a/tests/steps/plannedstop.py
+++ b/tests/steps/plannedstop.py
@@ -8,7 +8,8 @@
 from support import gatewayhost, processes
 
 from lycheegauge import settings
-from lycheegauge.internal.daemons import gateway
+from lycheegauge.internal.daemons import entry, gateway
+from lycheegauge.internal.protocol import calls, work
 
 STEP_S = 0.05
 HEAD = f"POST / HTTP/1.1\r\nHost: {gatewayhost.HOST}\r\nContent-Length: 4\r\n\r\n"
@@ -434,3 +435,42 @@
 def check_border(context, accept_s):
     # The time until the timers of a busy host have run.
     assert accept_s - 0.1 <= context.refused_after_s < accept_s + 0.3
+
+
+@behave.given(
+    "an entry host with agents that has stopped accepting and still runs a request"
+)
+def stop_entry_host(context):
+    async def stop():
+        part = settings.EntrySettings(
+            name="own", availability_zone="zone-1", caller_address="127.0.0.1:0",
+            operator_address="127.0.0.1:0", peer_address="127.0.0.1:7300",
+            log_hosts=("127.0.0.1:7300",), answer_valid_s=0.1,
+        )  # fmt: skip
+        daemon = entry.EntryDaemon(part)
+        # Its lease is valid, and one session runs.
+        daemon.follower.lease.allows_start = lambda now: True
+        daemon.sessions.add(asyncio.create_task(asyncio.sleep(60.0)))
+        draining = asyncio.create_task(daemon.drain())
+        await asyncio.sleep(part.answer_valid_s + 2 * entry.PULL_INTERVAL_S + 1.0)
+        request = calls.make_request("drafting", calls.CallHeaders(), b"{}", "a", True)
+        session = daemon.open_session(request)
+        replies = []
+        if isinstance(session, entry.RefusedSession):
+            replies = [reply async for reply in session.replies()]
+        for task in (draining, *daemon.sessions):
+            task.cancel()
+        return replies
+
+    context.replies = asyncio.run(stop())
+
+
+@behave.then(
+    "a request on a kept connection is refused as not run, with a time to retry"
+)
+def check_late_session(context):
+    assert len(context.replies) == 1, "the request was run"
+    refusal = context.replies[0].refusal
+    assert refusal.reason is work.RefusalReason.STOPPING
+    assert refusal.run_state is work.RunState.NOT_RUN
+    assert refusal.retry_after_s > 0.0
