Forget what hosts told each other of crashes that the log has cleared

A request that an answer had cleared stayed a suspect for up to 10 s at hosts that had seen its crashes themselves: their own notices of the crashes outlived the log's clearance, so its callers waited for the suspect slot once more, or got 503. The view now drops from its notices the crashes that the log's list had and has no more, and those that it clears itself.

Test: properties/forwarding, "a request that was answered before is not refused", has hosts with notices of their own; it failed before and passes.

Digests of requests are computed once, and views of what is not suspected allocate nothing.

--- a/src/lycheegauge/internal/coordination/crashes.py
+++ b/src/lycheegauge/internal/coordination/crashes.py
@@ -59,6 +59,34 @@
     return tuple(ranked[:SUSPECT_SERVERS])
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CountedCrashes:
+    """The boots whose crashes count against a fingerprint.
+
+    ``alone`` are those at which it was the only suspect.
+    """
+
+    boots: frozenset[str] = frozenset()
+    alone: frozenset[str] = frozenset()
+
+    @property
+    def verdict(self) -> Verdict:
+        if freshness.is_refused(len(self.boots), len(self.alone)):
+            return Verdict.REFUSED
+        return Verdict.SUSPECT if self.boots else Verdict.FREE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CrashNotification:
+    """Crashes of a fingerprint, and when the last one was reported."""
+
+    crashes: _CountedCrashes
+    reported_at: float
+
+
+_NO_CRASHES = _CountedCrashes()
+
+
 class QuarantineView:
     """The latest quarantine known to a process; older versions are ignored.
 
@@ -85,14 +113,20 @@
             return
         self.version = quarantine.version
         boots = quarantine.suspect_boots
-        self._counted = {
-            fingerprint: _CountedCrashes(frozenset((boot,)))
-            for fingerprint, boot in zip(quarantine.suspects, boots, strict=False)
-        }
+        known, self._counted = (
+            self._counted,
+            {
+                fingerprint: _CountedCrashes(frozenset((boot,)))
+                for fingerprint, boot in zip(quarantine.suspects, boots, strict=False)
+            },
+        )
         for item in quarantine.repeated_crashes:
             self._counted[item.fingerprint] = _CountedCrashes(
                 frozenset(item.boots), frozenset(item.alone)
             )
+        for fingerprint, crashes in known.items():
+            left = self._counted.get(fingerprint, _NO_CRASHES).boots
+            self._forget_notified(fingerprint, crashes.boots - left)
         # A leader of an older version names no crashes of what it refuses.
         self._refused = frozenset(quarantine.refused) - self._counted.keys()
         self._cleared = {
@@ -107,7 +141,7 @@
         boot = freshness.make_boot_key(report.backend_server, report.boot_id)
         for fingerprint in report.fingerprints:
             previous = self._notifications.pop(
-                fingerprint, _CrashNotification(_CountedCrashes(), now)
+                fingerprint, _CrashNotification(_NO_CRASHES, now)
             )
             alone = {boot} if fingerprint in report.alone else set()
             self._notifications[fingerprint] = _CrashNotification(
@@ -130,6 +164,7 @@
 
     def clear(self, fingerprint: str, boots: frozenset[str]) -> None:
         """Clears a fingerprint of crashes here, until the log has done so."""
+        self._forget_notified(fingerprint, boots)
         self._cleared[fingerprint] = self._cleared.pop(fingerprint, frozenset()) | boots
         while len(self._cleared) > MAX_TRACKED_FINGERPRINTS:
             del self._cleared[next(iter(self._cleared))]
@@ -148,8 +183,23 @@
             return Verdict.REFUSED
         return self._get_crashes(fingerprint).verdict
 
-    def _get_crashes(self, fingerprint: str) -> "_CountedCrashes":
-        known = self._counted.get(fingerprint, _CountedCrashes())
+    def _forget_notified(self, fingerprint: str, boots: frozenset[str]) -> None:
+        """Drops what was notified of crashes that the fingerprint is cleared of."""
+        notification = self._notifications.get(fingerprint)
+        if notification is None or not boots:
+            return
+        left = _CountedCrashes(
+            notification.crashes.boots - boots, notification.crashes.alone - boots
+        )
+        if left.boots:
+            self._notifications[fingerprint] = _CrashNotification(
+                left, notification.reported_at
+            )
+        else:
+            del self._notifications[fingerprint]
+
+    def _get_crashes(self, fingerprint: str) -> _CountedCrashes:
+        known = self._counted.get(fingerprint, _NO_CRASHES)
         notification = self._notifications.get(fingerprint)
         if notification is not None:
             known = _CountedCrashes(
@@ -162,31 +212,6 @@
         return _CountedCrashes(known.boots - cleared, known.alone - cleared)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _CountedCrashes:
-    """The boots whose crashes count against a fingerprint.
-
-    ``alone`` are those at which it was the only suspect.
-    """
-
-    boots: frozenset[str] = frozenset()
-    alone: frozenset[str] = frozenset()
-
-    @property
-    def verdict(self) -> Verdict:
-        if freshness.is_refused(len(self.boots), len(self.alone)):
-            return Verdict.REFUSED
-        return Verdict.SUSPECT if self.boots else Verdict.FREE
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _CrashNotification:
-    """Crashes of a fingerprint, and when the last one was reported."""
-
-    crashes: _CountedCrashes
-    reported_at: float
-
-
 class CrashReporter:
     """Stores an agent's crash reports until the log has committed them.
 
@@ -245,11 +270,11 @@
 
     def get_verdict(self, fingerprint: str) -> Verdict:
         """Returns how a fingerprint may run, from this server's own crashes."""
-        return self._crashes.get(fingerprint, _CountedCrashes()).verdict
+        return self._crashes.get(fingerprint, _NO_CRASHES).verdict
 
     def list_boots(self, fingerprint: str) -> frozenset[str]:
         """Lists the boots of this server whose crashes count against a fingerprint."""
-        return self._crashes.get(fingerprint, _CountedCrashes()).boots
+        return self._crashes.get(fingerprint, _NO_CRASHES).boots
 
     def clear(self, fingerprint: str) -> None:
         """Clears a suspect that ran alone to completion."""
@@ -258,7 +283,7 @@
     def _count_crash(self, report: CrashReport) -> None:
         boot = freshness.make_boot_key(report.backend_server, report.boot_id)
         for fingerprint in report.fingerprints:
-            known = self._crashes.pop(fingerprint, _CountedCrashes())
+            known = self._crashes.pop(fingerprint, _NO_CRASHES)
             alone = {boot} if fingerprint in report.alone else set()
             self._crashes[fingerprint] = _CountedCrashes(
                 known.boots | {boot}, known.alone | alone
--- a/src/lycheegauge/internal/coordination/partdetector.py
+++ b/src/lycheegauge/internal/coordination/partdetector.py
@@ -143,6 +143,8 @@
         self, parts: collections.abc.Iterable[str]
     ) -> list[freshness.CrashingPart]:
         """Lists those parts that must run alone or are refused."""
+        if not self._listed:
+            return []
         listed = [self._listed[part] for part in parts if part in self._listed]
         return [
             item
--- a/src/lycheegauge/internal/daemons/requestadmission.py
+++ b/src/lycheegauge/internal/daemons/requestadmission.py
@@ -60,6 +60,7 @@
         self._exchange = exchange
         self._names = shared.dialect.headers
         self._ticket: streamadmissions.Ticket | None = None
+        self._digest = ""
         self.route: routetables.Route | None = None
         self.service = ""
         self.organisation = ""
@@ -97,10 +98,15 @@
         return self.route.priority if self.priority is None else self.priority
 
     def digest_request(self) -> str:
-        """Returns a digest that identifies the request when it is sent again."""
-        exchange = self._exchange
-        place = f"{self.organisation} {exchange.method} {exchange.target}"
-        return calls.digest_content(place, exchange.body)
+        """Returns a digest that identifies the request when it is sent again.
+
+        Call it only once the organisation is known.
+        """
+        if not self._digest:
+            exchange = self._exchange
+            place = f"{self.organisation} {exchange.method} {exchange.target}"
+            self._digest = calls.digest_content(place, exchange.body)
+        return self._digest
 
     def _is_quarantined(self) -> bool:
         """Tells whether the request must not run, since it crashed servers before."""
