--- a/tests/steps/cutheads.py
+++ b/tests/steps/cutheads.py
@@ -3,8 +3,7 @@
 import behave
 from support import engineservers, gatewayhost
 
-from lycheegauge.internal.daemons import engineclient
-from lycheegauge.internal.protocol import enginedialects, maporders
+from lycheegauge.internal.protocol import maporders
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Response-Seal: s-1\r\nContent-Type: text/plain\r\n"
@@ -13,7 +12,6 @@
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 REFUSAL = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
 LINE_ENDS = {"CRLF": b"\r\n", "LF": b"\n"}
-ORDER = maporders.MapOrder(maporders.MapOrderKind.GO, 1, 1, step=5)
 
 
 def cut_head(line_end):
@@ -66,24 +64,12 @@
             assert failure is not None and not replies, (name, sent, replies)
 
 
-async def send_order(answer):
-    server = engineservers.FakeEngine(answer)
-    await server.start()
-    dialect = enginedialects.get_dialect("native")
-    client = engineclient.EngineClient(dialect, server.address)
-    try:
-        return await client.order(ORDER)
-    finally:
-        client.close()
-        await server.close()
-
-
 @behave.then("no order to an engine is taken for answered by such a head")
 def check_orders(context):
     if context.ending != "close":
         return
     for sent in context.heads:
-        reply = asyncio.run(send_order(sent))
+        reply = asyncio.run(engineservers.send_order(sent))
         assert reply.outcome is maporders.MapOrderOutcome.UNANSWERED, (sent, reply)
 
 
--- a/tests/steps/invalidstatus.py
+++ b/tests/steps/invalidstatus.py
@@ -3,8 +3,7 @@
 import behave
 from support import engineservers, gatewayhost
 
-from lycheegauge.internal.daemons import engineclient
-from lycheegauge.internal.protocol import enginedialects, maporders
+from lycheegauge.internal.protocol import maporders
 
 STATUSES = ("000", "001", "099", "600", "999", "20", "2000", "abc", "")
 BODY = b"id: 1\ndata: 1\n\n"
@@ -14,7 +13,6 @@
     % (len(BODY), BODY),
     "neither": b"\r\n" + BODY,
 }
-ORDER = maporders.MapOrder(maporders.MapOrderKind.GO, 1, 1, step=5)
 
 
 def make_answer(status, framing):
@@ -83,23 +81,11 @@
                 assert not any(reply.end for reply in replies)
 
 
-async def send_order(answer):
-    server = engineservers.FakeEngine(answer)
-    await server.start()
-    dialect = enginedialects.get_dialect("native")
-    client = engineclient.EngineClient(dialect, server.address)
-    try:
-        return await client.order(ORDER)
-    finally:
-        client.close()
-        await server.close()
-
-
 @behave.then("an agent takes an engine's order for unanswered, not for refused")
 def check_orders(context):
     for status in context.statuses:
         for framing in FRAMINGS:
-            reply = asyncio.run(send_order(make_answer(status, framing)))
+            reply = asyncio.run(engineservers.send_order(make_answer(status, framing)))
             assert reply.outcome is maporders.MapOrderOutcome.UNANSWERED, (
                 status, framing, reply,
             )  # fmt: skip
--- a/tests/support/engineservers.py
+++ b/tests/support/engineservers.py
@@ -5,10 +5,12 @@
 import json
 
 from lycheegauge import errors
-from lycheegauge.internal.protocol import calls, work
+from lycheegauge.internal.daemons import engineclient
+from lycheegauge.internal.protocol import calls, enginedialects, maporders, work
 from lycheegauge.internal.transport import engines
 
 WAIT_S = 20.0
+ORDER = maporders.MapOrder(maporders.MapOrderKind.GO, 1, 1, step=5)
 FIRST_TOKEN_TIMEOUT_S = 0.3
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
@@ -99,3 +101,16 @@
         return await asyncio.wait_for(coroutine, WAIT_S)
 
     return asyncio.run(bounded())
+
+
+async def send_order(answer):
+    """Returns what an engine's client makes of an answer to an order."""
+    server = FakeEngine(answer)
+    await server.start()
+    dialect = enginedialects.get_dialect("native")
+    client = engineclient.EngineClient(dialect, server.address)
+    try:
+        return await client.order(ORDER)
+    finally:
+        client.close()
+        await server.close()
