Write the line of a suspected request as an event of the request

"suspected request runs alone" was written past internal/events.py, so it was not among the documented events. It is one now, with its fields as text; the trace of a request shows it as before. The check that every writer of an event is used looks at suspectedrequest too, which writes this one. An unused property of the detector of parts is gone. No decision changes.

Tests: properties/logs, 8 passed (7 before the fields were text); processes/popularrequests, 2 passed.

--- a/src/lycheegauge/internal/coordination/partdetector.py
+++ b/src/lycheegauge/internal/coordination/partdetector.py
@@ -115,11 +115,6 @@
         self._pending_reports: dict[str, changes.ReportPartCrash] = {}
         self._pending_clearances: dict[str, changes.ClearPart] = {}
 
-    @property
-    def has_suspects(self) -> bool:
-        """Whether any part must run alone or is refused."""
-        return bool(self._listed)
-
     def find_refused(self, parts: collections.abc.Iterable[str]) -> str:
         """Returns a part that must not run, or an empty string."""
         listed = self._list_suspects(parts)
--- a/src/lycheegauge/internal/daemons/forwardedrequest.py
+++ b/src/lycheegauge/internal/daemons/forwardedrequest.py
@@ -46,9 +46,6 @@
         self._names = shared.dialect.headers
         self._request_id = exchange.headers.get(self._names.request_id, "")
         self._admission = requestadmission.RequestAdmission(shared, exchange)
-        self._suspicion = suspectedrequest.SuspectedRequest(
-            shared, exchange, self._admission
-        )
         self._tried_servers: set[str] = set()
         self._runs = 0
         self._refusals = 0
@@ -58,6 +55,9 @@
         self._record = requestrecord.RequestRecord(
             shared, self._request_id, exchange.arrived_at
         )
+        self._suspicion = suspectedrequest.SuspectedRequest(
+            shared, self._admission, self._record
+        )
         self._response = responseforwarding.ResponseForwarder(
             shared, exchange, self._record
         )
--- a/src/lycheegauge/internal/daemons/requestrecord.py
+++ b/src/lycheegauge/internal/daemons/requestrecord.py
@@ -88,6 +88,24 @@
         """Logs that the retry budget allowed another attempt, and what is left."""
         events.write_event(events.RetryAllowed(self._request_id, service, budget))
 
+    def write_runs_alone(
+        self,
+        service: str,
+        fingerprint: str,
+        crashes: frozenset[str],
+        parts: tuple[str, ...],
+    ) -> None:
+        """Logs that the request got the suspect slot of its service."""
+        events.write_event(
+            events.SuspectedRequestRunsAlone(
+                self._request_id,
+                service,
+                fingerprint,
+                ",".join(sorted(crashes)),
+                ",".join(parts),
+            )
+        )
+
     def write_hedged(
         self, server: str, late_server: str, sent_at: float, budget: str
     ) -> None:
--- a/src/lycheegauge/internal/daemons/suspectedrequest.py
+++ b/src/lycheegauge/internal/daemons/suspectedrequest.py
@@ -1,11 +1,9 @@
 """Lets a request that may have crashed servers run while no other such request does."""
 
-import loguru
-
 from lycheegauge.internal.coordination import crashes, forwardrules, refusals
-from lycheegauge.internal.daemons import forwarder, requestadmission
+from lycheegauge.internal.daemons import forwarder, requestadmission, requestrecord
 from lycheegauge.internal.protocol import work
-from lycheegauge.internal.transport import clock, ingress
+from lycheegauge.internal.transport import clock
 
 WAIT_MAX_S = 2.0
 """Maximum wait of a suspected request for the slot of its service, in seconds."""
@@ -23,19 +21,19 @@
 
     Args:
         shared: The state shared by all requests of the entry host.
-        exchange: The request and its response to the caller.
         admission: What applies to the request.
+        record: Logs what happens to the request.
     """
 
     def __init__(
         self,
         shared: forwarder.Forwarder,
-        exchange: ingress.Exchange,
         admission: requestadmission.RequestAdmission,
+        record: requestrecord.RequestRecord,
     ) -> None:
         self._shared = shared
-        self._exchange = exchange
         self._admission = admission
+        self._record = record
         self._known_crashes: frozenset[str] = frozenset()
         self._has_broken_off = False
         self._has_slot = False
@@ -126,15 +124,11 @@
         if not self._shared.suspect_runs.slots.take(service, now):
             return False
         self._has_slot = True
-        loguru.logger.info(
-            "suspected request runs alone",
-            request_id=self._exchange.headers.get(
-                self._shared.dialect.headers.request_id, ""
-            ),
-            service=service,
-            fingerprint=self._admission.digest_request(),
-            crashes=sorted(self._list_crashes()),
-            parts=self.parts_alone,
+        self._record.write_runs_alone(
+            service,
+            self._admission.digest_request(),
+            self._list_crashes(),
+            self.parts_alone,
         )
         return True
 
--- a/src/lycheegauge/internal/events.py
+++ b/src/lycheegauge/internal/events.py
@@ -88,6 +88,24 @@
     budget: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectedRequestRunsAlone(Event):
+    """The request got the suspect slot of its service, as it may crash servers.
+
+    Attributes:
+        service: The service.
+        fingerprint: The digest of the request.
+        crashes: The crashed boots that count against the request, separated by commas.
+        parts: The suspected parts of its prompt, likewise; empty if the request itself
+            is a suspect.
+    """
+
+    service: str
+    fingerprint: str
+    crashes: str
+    parts: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestHedged(Event):
     """A copy was sent to another server, since the answer is late.
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -22,6 +22,7 @@
     lifecycle,
     requestrecord,
     responseforwarding,
+    suspectedrequest,
     workmeter,
 )
 from lycheegauge.internal.protocol import routetables, work
@@ -109,7 +110,8 @@
 @behave.then("every way in which a forwarded request ends writes an event")
 def check_endings(context):
     source = inspect.getsource(requestrecord)
-    used = inspect.getsource(forwardedrequest) + inspect.getsource(hedgedattempt)
+    users = (forwardedrequest, hedgedattempt, suspectedrequest)
+    used = "".join(map(inspect.getsource, users))
     for event in list_events():
         assert f"events.{event.__name__}(" in source, f"{event.__name__} is not written"
     for name in vars(requestrecord.RequestRecord):
