--- a/tests/steps/popularrequests.py
+++ b/tests/steps/popularrequests.py
@@ -43,7 +43,7 @@
 
 
 def crash_once(fleet, pool):
-    """Sends the crashing request beside popular ones; returns if two servers crashed."""
+    """Sends the crashing request beside popular ones; tells if it crashed servers."""
     running = request_popular(fleet, pool, (0, 1))
     time.sleep(POPULAR_S / 2)
     crashed = fleet.request("/safe/poison", "crashing")
