--- a/tests/failures/endlessbytes.feature
+++ b/tests/failures/endlessbytes.feature
@@ -37,7 +37,7 @@
   # Guards against keeping what a faulty engine sends in any part of an answer.
   Scenario Outline: An engine that sends <part> without end ends its run
     Given an engine that sends <part> without end
-    Then a plain service's run, a completion and the cancelling of one each read less than 8 MB
+    Then a plain service's run reads its size limit, and a completion and its cancelling less than 8 MB
     And an order to it and a question for its state each read less than 8 MB
 
     Examples:
--- a/tests/steps/endlessbytes.py
+++ b/tests/steps/endlessbytes.py
@@ -203,8 +203,8 @@
 
 
 @behave.then(
-    "a plain service's run, a completion and the cancelling of one each read less than"
-    " {limit_mb:d} MB"
+    "a plain service's run reads its size limit, and a completion and its cancelling"
+    " less than {limit_mb:d} MB"
 )
 def check_runs(context, limit_mb):
     for name in ("plain", "completions"):
@@ -212,7 +212,7 @@
             measure(context.part, lambda address, name=name: run_engine(name, address))
         )
         assert has_failed, (name, taken)
-        # A plain service's answer may be as long as an adapter buffers.
+        # Its connection holds some more bytes than the adapter.
         allowed = engines.MAX_RESPONSE_BYTES + 1 * MB if name == "plain" else 0
         assert taken < max(limit_mb * MB, allowed), (name, taken)
     taken, _ = asyncio.run(measure(context.part, cancel_completion))
