--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,13 +1,13 @@
-"""A process that gets SIGHUP while it starts ends by the signal.
+"""A tenant whose name is outside Latin-1 gets nothing but failures.
 
-Each machine of a small deployment is stopped and started in turn, as for planned
-work. While a process starts, its settings file changes, which SIGHUP tells it.
+A manifest that is acknowledged names two tenants of a Polish installation. Both send
+proper requests with their keys.
 """
 
 import os
 import pathlib
-import signal
 import sys
+import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -16,64 +16,101 @@
 import harness  # noqa: E402
 import servers  # noqa: E402
 
-GRACE_S = 8.0
-HUP_AFTER_S = 0.25
-"""Time from a start to the SIGHUP. A start takes about half a second here."""
+TENANT = "Łódź"  # a capital of a voivodeship; "Lodz" with TROUBLE=0
+OTHER_TENANT = "Kielce"
+KEYS = {"tenant": "n2ctnfzs989anu6wsjnb", "other": "anfqasnmgkcuyj8pjbvk"}
+REQUESTS = 60
+FREE_DENIALS = 5
 
 
-def restart(deployment, role, number, has_trouble):
-    """Stops and starts a machine; returns how its new process ended, or ``None``."""
-    name = f"{'front' if role == 'gateway' else 'core'}-{number + 1}"
-    process = deployment.processes[name]
-    process.send_signal(signal.SIGTERM)
-    try:
-        process.wait(GRACE_S)
-    except Exception:
-        process.kill()
-        process.wait()
-    deployment.record.write(name, "stopped by SIGTERM, code", process.returncode)
-    start = deployment.start_gateway if role == "gateway" else deployment.start_control
-    process = start(number)
-    time.sleep(HUP_AFTER_S)
-    if has_trouble:
-        # The file is written anew, with the same content, before the signal.
-        path = deployment.folder / f"{name}.json"
-        path.with_suffix(".new").write_text(path.read_text())
-        os.replace(path.with_suffix(".new"), path)
-        process.send_signal(signal.SIGHUP)
-        deployment.record.write(name, "SIGHUP")
-    time.sleep(2.5)
-    code = process.poll()
-    deployment.record.write(name, "runs" if code is None else f"ended, code {code}")
-    if code is not None:
-        start(number)
-        time.sleep(1.5)
-    return code
+class Replica(servers.Replica):
+    """Counts its channels."""
+
+    channels = 0
+
+    def _serve(self, connection):
+        with self.lock:
+            self.channels += 1
+        super()._serve(connection)
 
 
 def play(record, has_trouble):
     deployment = harness.Deployment(record, gateways=2, controls=3)
+    replicas = []
     try:
         deployment.start()
-        route = servers.make_route("r1", "unsafe", "desk", "/v1/")
+        routes = [
+            servers.make_route("r1", "unsafe", "desk", "/issue/", anonymous=False),
+            servers.make_route(
+                "r2", "safe", "desk", "/lookup/", anonymous=False, timeoutMs=3000
+            ),
+        ]
+        tenants = [
+            {"name": TENANT if has_trouble else "Lodz", "apiKeys": [KEYS["tenant"]]},
+            {"name": OTHER_TENANT, "apiKeys": [KEYS["other"]]},
+        ]
         deployment.put_manifest(
-            servers.make_manifest(1, [route], [servers.make_service("desk")])
+            servers.make_manifest(1, routes, [servers.make_service("desk")], tenants)
         )
-        deployment.bootstrap = False
+        for n in range(3):
+            host = f"{deployment.network}.3.{n + 1}"
+            replicas.append(
+                Replica(deployment, f"i-{n}", "desk", f"zone-{'abc'[n]}", host)
+            )
         deployment.wait_until(
             lambda: all(deployment.is_ready(n) for n in range(2)), "gateways are ready"
         )
-        ended = []
-        for role, number in (
-            ("gateway", 0), ("gateway", 1), ("control", 0), ("control", 1),
-        ):  # fmt: skip
-            code = restart(deployment, role, number, has_trouble)
-            if code is not None:
-                ended.append(f"{role} {number + 1} ended with code {code}")
-        return "; ".join(ended)
+        time.sleep(3.0)
+        statuses = {}
+        lock = threading.Lock()
+
+        def send(count, holder, method, path):
+            attempt = f"{holder}-{method}-{count}"
+            status, _, body = servers.send_request(
+                deployment.gateway_hosts[count % 2], deployment.port, method, path,
+                attempt, b"certificate" if method == "POST" else b"", 3000,
+                [("Authorization", f"Token {KEYS[holder]}")],
+            )  # fmt: skip
+            with lock:
+                statuses.setdefault((holder, method), []).append(status)
+            record.write(attempt, "->", status, body[:90])
+
+        senders = []
+        for count in range(REQUESTS):
+            for holder in KEYS:
+                call = ("POST", "/issue/1") if count % 2 else ("GET", "/lookup/1")
+                senders.append(
+                    threading.Thread(target=send, args=(count, holder, *call))
+                )
+                senders[-1].start()
+            time.sleep(0.1)
+        for sender in senders:
+            sender.join()
+        total = sum(map(len, statuses.values()))
+        denied = sum(
+            300 <= status < 500 and status not in (408, 421, 429)
+            for found in statuses.values()
+            for status in found
+            if status is not None
+        )
+        for key, found in sorted(statuses.items()):
+            counts = {status: found.count(status) for status in set(found)}
+            record.write(*key, "ended with", counts)
+        channels = sum(replica.channels for replica in replicas)
+        record.write("channels that the replicas accepted:", channels)
+        if denied > FREE_DENIALS + total / 500:
+            return (
+                f"{denied} of {total} proper requests got a 3xx or 4xx, allowed "
+                f"{FREE_DENIALS + total / 500:.1f}; {channels} channels were opened"
+            )
+        return ""
     finally:
+        for replica in replicas:
+            replica.close()
         deployment.close()
 
 
 if __name__ == "__main__":
-    sys.exit(harness.run_case(FOLDER, play))
+    code = harness.run_case(FOLDER, play)
+    sys.stdout.flush()
+    os._exit(code)
