--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -222,6 +223,8 @@
 def run_case(folder, play):
     """Runs ``play(record, has_trouble)``, which returns what was broken, or ``""``."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A run that is ended from outside ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(pathlib.Path(folder) / "record.txt")
     record.write("trouble" if has_trouble else "no trouble")
     try:
